--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,30 @@
+// Bundles the program, and with --test the stand-ins, the demo and the benchmarks.
+import { execFileSync } from "node:child_process";
+import * as fs from "node:fs";
+import { build } from "esbuild";
+
+const manifest = JSON.parse(fs.readFileSync("package.json", "utf8"));
+fs.writeFileSync("src/version.generated.ts", `/** The version of package.json; made by npm run build. */\nexport const version = "${manifest.version}";\n`);
+const shared = { bundle: true, platform: "node", target: "node20", logLevel: "warning" };
+await build({
+    ...shared,
+    entryPoints: ["src/main.ts"],
+    format: "cjs",
+    outfile: "dist/agatebend.cjs",
+    define: { "import.meta.url": "importMetaUrl" },
+    banner: { js: "#!/usr/bin/env node\nconst importMetaUrl=require(\"node:url\").pathToFileURL(__filename).href;" },
+});
+fs.chmodSync("dist/agatebend.cjs", 0o755);
+if (process.argv.includes("--test")) {
+    const banner = { js: "import { createRequire as createBundleRequire } from \"node:module\"; const require = createBundleRequire(import.meta.url);" };
+    const entryPoints = ["test/standins/main.ts", ...fs.readdirSync("bench").filter(name => name.endsWith(".bench.ts")).map(name => `bench/${name}`), "scripts/demo.ts", "scripts/generateDocs.ts"];
+    await build({ ...shared, entryPoints: entryPoints.filter(path => fs.existsSync(path)), format: "esm", outdir: "dist/tools", outExtension: { ".js": ".mjs" }, outbase: ".", banner });
+}
+if (process.argv.includes("--binary")) {
+    fs.writeFileSync("dist/sea.json", JSON.stringify({ main: "dist/agatebend.cjs", output: "dist/sea.blob", disableExperimentalSEAWarning: true }));
+    execFileSync(process.execPath, ["--experimental-sea-config", "dist/sea.json"], { stdio: "inherit" });
+    fs.rmSync("dist/agatebend", { force: true });
+    fs.copyFileSync(process.execPath, "dist/agatebend");
+    fs.chmodSync("dist/agatebend", 0o755);
+    execFileSync("npx", ["postject", "dist/agatebend", "NODE_SEA_BLOB", "dist/sea.blob", "--sentinel-fuse", "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2"], { stdio: "inherit" });
+}
--- /dev/null
+++ b/scripts/generateDocs.ts
@@ -0,0 +1,50 @@
+/** Writes the pages that are made from schemas and tables; with --check, fails where one is not current. */
+
+import * as fs from "node:fs";
+import { Code } from "@connectrpc/connect";
+import { z } from "zod";
+import * as configuration from "../src/configuration/index.js";
+import * as errors from "../src/kernel/errors.js";
+import * as settings from "../src/settings/index.js";
+
+const notice = "This page is made by `npm run docs:settings`; change the source instead.";
+
+function createSettingsPage(): string {
+    const rows = settings.listSettingNames().map(name => {
+        const schema = settings.serveSchema.shape[name];
+        const byDefault = JSON.stringify(schema.parse(undefined));
+        return `| \`--${settings.getFlag(name)}\` | \`${settings.getEnvironmentVariable(name)}\` | \`${byDefault}\` | ${schema.description} |`;
+    });
+    return ["# Settings of `agatebend serve`", "", notice, "", "| flag | environment variable | default | meaning |", "| --- | --- | --- | --- |", ...rows, ""].join("\n");
+}
+
+function createErrorsPage(): string {
+    const rows = Object.entries(errors.answers).map(([kind, answer]) => `| \`${kind}\` | ${answer.status} | ${Code[answer.code]} | ${answer.outcome} | ${answer.retry} | ${answer.meaning} |`);
+    const explanation = [
+        "The outcome says whether the request has run at an upstream. With an order key it speaks of the key: `not-executed` means that no request with the key has run or will run.",
+        "",
+        "The advice: `no`: a repeat fails alike; `later`: try again after a while; `otherInstance`: try the next address; `sameKey`: an order may be repeated with the same key and is told its outcome, a repeatable request may be sent again.",
+    ];
+    return ["# Error kinds and their answers", "", notice, "", ...explanation, "", "| kind | HTTP status | RPC code | outcome | advice | meaning |", "| --- | --- | --- | --- | --- | --- |", ...rows, ""].join("\n");
+}
+
+function createSchemaPage(): string {
+    const schema = JSON.stringify(z.toJSONSchema(configuration.documentSchema, { io: "input" }), undefined, 4);
+    return `${schema}\n`;
+}
+
+const pages: Readonly<Record<string, string>> = {
+    "docs/settings.md": createSettingsPage(),
+    "docs/errors.md": createErrorsPage(),
+    "docs/configuration.schema.json": createSchemaPage(),
+};
+for (const [path, text] of Object.entries(pages)) {
+    if (!process.argv.includes("--check")) {
+        fs.writeFileSync(path, text);
+        continue;
+    }
+    if (!fs.existsSync(path) || fs.readFileSync(path, "utf8") !== text) {
+        process.stderr.write(`${path} is not current; run npm run docs:settings\n`);
+        process.exitCode = 1;
+    }
+}
--- /dev/null
+++ b/src/admission/admission.ts
@@ -0,0 +1,85 @@
+/** The schedulers of all services. */
+
+import { err, type Result } from "neverthrow";
+import * as promClient from "prom-client";
+import * as configuration from "../configuration/index.js";
+import type * as context from "../kernel/context.js";
+import * as errors from "../kernel/errors.js";
+import * as services from "../kernel/services.js";
+import type * as pool from "../pool/index.js";
+import * as scheduler from "./scheduler.js";
+import type * as types from "./types.js";
+
+/** Options of admission. */
+export interface CreateAdmissionOptions {
+    readonly context: context.Context;
+    readonly pool: pool.Pool;
+    readonly configuration: configuration.ConfigurationService;
+    readonly allowance: types.Allowance;
+}
+
+/** Admits requests to services. */
+export class Admission {
+    private readonly schedulers = new Map<string, scheduler.Scheduler>();
+    private ranksText = "";
+
+    constructor(private readonly options: CreateAdmissionOptions) {
+        options.configuration.addListener(current => this.setConfiguration(current));
+        options.pool.addChangeListener(() => this.schedulers.forEach(known => known.dispatch()));
+        const gauge: promClient.Gauge<"service" | "rank"> = new promClient.Gauge({
+            name: "agatebend_queued",
+            help: "Requests that wait for a slot.",
+            labelNames: ["service", "rank"],
+            registers: [options.context.metrics],
+            collect: () => {
+                gauge.reset();
+                this.schedulers.forEach((known, service) => known.getDemand().forEach(({ rank, queued }) => gauge.set({ service, rank }, queued)));
+            },
+        });
+    }
+
+    /**
+     * Waits for a slot at an upstream of the request's service.
+     * @param request - What is asked for.
+     */
+    acquireSlot(request: types.SlotRequest): Promise<Result<types.Slot, errors.FleetError>> {
+        const known = this.schedulers.get(request.service);
+        return known?.acquireSlot(request) ?? Promise.resolve(err(errors.createError("routeNotFound", `the service ${request.service} is no longer configured`)));
+    }
+
+    /** Returns the demand by service and rank. */
+    getDemand(): ReadonlyMap<string, readonly types.RankDemand[]> {
+        return new Map([...this.schedulers].map(([service, known]) => [service, known.getDemand()]));
+    }
+
+    /** Returns the number of requests that wait. */
+    getQueuedCount(): number {
+        return [...this.getDemand().values()].flat().reduce((sum, { queued }) => sum + queued, 0);
+    }
+
+    /** Returns the schedulers' state for the dump. */
+    getDump(): unknown {
+        return Object.fromEntries([...this.schedulers].map(([service, known]) => [service, known.getDump()]));
+    }
+
+    private setConfiguration({ document, retiredFeatures }: configuration.CompiledConfiguration): void {
+        const ranksText = JSON.stringify(document.ranks);
+        const haveRanksChanged = ranksText !== this.ranksText;
+        this.ranksText = ranksText;
+        for (const [service, known] of this.schedulers) {
+            known.rejectWaiting(request => request.feature !== undefined && retiredFeatures.has(request.feature) ? errors.createError("featureRetired", `the feature ${request.feature} was retired while the request waited`) : undefined);
+            if (!Object.hasOwn(document.services, service) || haveRanksChanged) {
+                known.rejectWaiting(() => errors.createError("overloaded", "the service's ranks changed while the request waited"));
+                this.schedulers.delete(service);
+            }
+        }
+        for (const service of Object.keys(document.services)) {
+            if (!this.schedulers.has(service)) {
+                this.schedulers.set(service, new scheduler.Scheduler({ ...this.options, service, ranks: document.ranks }));
+            }
+        }
+    }
+}
+
+/** The key of the admission service. */
+export const admissionKey = services.createKey<Admission>("admission");
--- /dev/null
+++ b/src/admission/scheduler.ts
@@ -0,0 +1,205 @@
+/** Queues a service's requests by rank and hands them upstreams as these have room. */
+
+import { err, ok, type Result } from "neverthrow";
+import type * as configuration from "../configuration/index.js";
+import type * as context from "../kernel/context.js";
+import * as errors from "../kernel/errors.js";
+import type * as loop from "../kernel/loop.js";
+import * as pool from "../pool/index.js";
+import * as shareLedger from "./shareLedger.js";
+import type * as types from "./types.js";
+
+/** Milliseconds until the queues are looked at again while work waits and nothing has changed. */
+const lookAgainMs = 10;
+/** How many waiting requests of one rank are tried when the first ones may not go to the free upstreams. */
+const lookAhead = 8;
+/** The part of the usual latency that must still be left before the deadline. */
+const minimumTimeFactor = 1;
+
+/** Options of a scheduler. */
+export interface CreateSchedulerOptions {
+    readonly context: context.Context;
+    readonly pool: pool.Pool;
+    readonly service: string;
+    readonly ranks: readonly configuration.RankDefinition[];
+    readonly allowance: types.Allowance;
+}
+
+interface Waiting {
+    readonly request: types.SlotRequest;
+    readonly resolve: (result: Result<types.Slot, errors.FleetError>) => void;
+    readonly cancelTimer: loop.Cancel;
+}
+
+/** The queues of one service at this instance. */
+export class Scheduler {
+    private readonly queues: Waiting[][];
+    private readonly ledger: shareLedger.ShareLedger;
+    private cancelLook?: loop.Cancel;
+
+    constructor(private readonly options: CreateSchedulerOptions) {
+        this.queues = options.ranks.map(() => []);
+        this.ledger = new shareLedger.ShareLedger(options.ranks.map(rank => rank.guaranteedShare), options.context.clock.getNow());
+    }
+
+    /**
+     * Waits for a slot at an upstream.
+     * @param request - The request's rank, deadline and what it has tried.
+     * @returns The slot; an error means that nothing was sent.
+     */
+    acquireSlot(request: types.SlotRequest): Promise<Result<types.Slot, errors.FleetError>> {
+        const { settings, loop: timers, clock } = this.options.context;
+        const queue = this.queues[request.rankIndex]!;
+        const now = clock.getNow();
+        if (queue.length >= settings.queueLength) {
+            return Promise.resolve(err(errors.createError("overloaded", `${queue.length} requests of the rank wait already`)));
+        }
+        if (request.signal.aborted) {
+            return Promise.resolve(err(errors.createError("callerGone")));
+        }
+        return new Promise(resolve => {
+            const remove = (error: errors.FleetError) => {
+                const index = queue.indexOf(waiting);
+                if (index >= 0) {
+                    queue.splice(index, 1);
+                }
+                this.finishWaiting(waiting, err(error));
+            };
+            const onAbort = () => remove(request.getAbortError());
+            const waiting: Waiting = {
+                request,
+                resolve: result => {
+                    request.signal.removeEventListener("abort", onAbort);
+                    resolve(result);
+                },
+                cancelTimer: timers.scheduleOnce(Math.max(0, request.deadlineAt - now), () => remove(errors.createError("deadlineBeforeSend"))),
+            };
+            request.signal.addEventListener("abort", onAbort, { once: true });
+            if (queue.length === 0) {
+                this.ledger.recordBacklog(request.rankIndex, now);
+            }
+            if (request.isRetry) {
+                queue.unshift(waiting);
+            }
+            else {
+                queue.push(waiting);
+            }
+            this.dispatch();
+        });
+    }
+
+    /** Gives free upstreams to waiting requests. */
+    dispatch(): void {
+        while (this.dispatchOne()) {
+            // Each round starts one request.
+        }
+        const isWaiting = this.queues.some(queue => queue.length > 0);
+        if (isWaiting && this.cancelLook === undefined) {
+            this.cancelLook = this.options.context.loop.scheduleOnce(lookAgainMs, () => {
+                this.cancelLook = undefined;
+                this.dispatch();
+            });
+        }
+    }
+
+    /** Rejects every waiting request that a changed configuration no longer allows. */
+    rejectWaiting(getError: (request: types.SlotRequest) => errors.FleetError | undefined): void {
+        for (const queue of this.queues) {
+            for (const waiting of [...queue]) {
+                const error = getError(waiting.request);
+                if (error !== undefined) {
+                    queue.splice(queue.indexOf(waiting), 1);
+                    this.finishWaiting(waiting, err(error));
+                }
+            }
+        }
+    }
+
+    /** Returns the requests that wait or hold a slot, by rank. */
+    getDemand(): readonly types.RankDemand[] {
+        return this.options.ranks.map((rank, index) => ({
+            rank: rank.name,
+            queued: this.queues[index]!.length,
+            inFlight: this.ledger.getInFlight(index),
+        }));
+    }
+
+    /** Returns the queues' state for the dump. */
+    getDump(): unknown {
+        const parts = this.ledger.getUsageParts();
+        return this.getDemand().map((demand, index) => ({ ...demand, guaranteedShare: this.options.ranks[index]!.guaranteedShare, recentShare: parts[index] }));
+    }
+
+    private dispatchOne(): boolean {
+        const now = this.options.context.clock.getNow();
+        for (const rank of this.ledger.listOrder(now)) {
+            this.removeHopeless(rank, now);
+            if (!this.options.allowance.isStartAllowed(this.options.service, rank, this.ledger.getInFlight(rank), now)) {
+                continue;
+            }
+            if (this.startFirst(rank, now)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private startFirst(rank: number, now: number): boolean {
+        const servicePool = this.options.pool.getServicePool(this.options.service);
+        const queue = this.queues[rank]!;
+        for (const [index, waiting] of queue.slice(0, lookAhead).entries()) {
+            const chosen = pool.chooseUpstream({
+                upstreams: servicePool?.upstreams ?? [],
+                now,
+                randomness: this.options.context.randomness,
+                isRepeatable: waiting.request.isRepeatable,
+                excluded: waiting.request.excluded,
+                home: this.options.allowance.getHome(this.options.service),
+            });
+            if (chosen !== undefined) {
+                queue.splice(index, 1);
+                this.startWaiting(waiting, chosen, now);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private startWaiting(waiting: Waiting, target: pool.Upstream, now: number): void {
+        const { request } = waiting;
+        const attempt = this.options.pool.startAttempt(target, request.route, request.rankIndex);
+        this.ledger.addInFlight(request.rankIndex, now);
+        let isReleased = false;
+        this.finishWaiting(
+            waiting,
+            ok({
+                upstream: target,
+                attempt,
+                release: outcome => {
+                    if (isReleased) {
+                        return;
+                    }
+                    isReleased = true;
+                    this.ledger.removeInFlight(request.rankIndex, this.options.context.clock.getNow());
+                    this.options.pool.finishAttempt(target, attempt, outcome);
+                },
+            }),
+        );
+    }
+
+    /** Drops the requests at the front that can no longer be answered in time, so that a slot is not spent on them. */
+    private removeHopeless(rank: number, now: number): void {
+        const queue = this.queues[rank]!;
+        let first = queue[0];
+        while (first !== undefined && first.request.deadlineAt - now < (first.request.getUsualLatencyMs() ?? 0) * minimumTimeFactor) {
+            queue.shift();
+            this.finishWaiting(first, err(errors.createError("deadlineBeforeSend", "the deadline could no longer be met when the request's turn came")));
+            first = queue[0];
+        }
+    }
+
+    private finishWaiting(waiting: Waiting, result: Result<types.Slot, errors.FleetError>): void {
+        waiting.cancelTimer();
+        waiting.resolve(result);
+    }
+}
--- /dev/null
+++ b/src/admission/types.ts
@@ -0,0 +1,47 @@
+/** Plain data of admission. */
+
+import type * as errors from "../kernel/errors.js";
+import type * as pool from "../pool/index.js";
+
+/** A request for a slot at an upstream. */
+export interface SlotRequest {
+    readonly service: string;
+    readonly route: string;
+    readonly rankIndex: number;
+    readonly feature: string | undefined;
+    readonly isRepeatable: boolean;
+    /** Whether an earlier attempt of the same request held a slot; it goes before its rank's others. */
+    readonly isRetry: boolean;
+    /** Monotonic milliseconds. */
+    readonly deadlineAt: number;
+    /** Identifiers of upstreams to leave out. */
+    readonly excluded: ReadonlySet<string>;
+    readonly signal: AbortSignal;
+    /** Returns the error to answer with after the signal. */
+    readonly getAbortError: () => errors.FleetError;
+    /** Returns the route's usual latency in milliseconds. */
+    readonly getUsualLatencyMs: () => number | undefined;
+}
+
+/** A slot at an upstream; it must be released. */
+export interface Slot {
+    readonly upstream: pool.Upstream;
+    readonly attempt: pool.AttemptRecord;
+    /** Frees the slot; repeats change nothing. */
+    readonly release: (outcome: pool.AttemptOutcome) => void;
+}
+
+/** What one rank asks of a service at one instance. */
+export interface RankDemand {
+    readonly rank: string;
+    readonly queued: number;
+    readonly inFlight: number;
+}
+
+/** What the fleet leaves to this instance while a service is overloaded. */
+export interface Allowance {
+    /** Returns whether a rank may take another slot of a service. */
+    readonly isStartAllowed: (service: string, rankIndex: number, inFlight: number, now: number) => boolean;
+    /** Returns the identifiers of the upstreams whose slots are lent to this instance. */
+    readonly getHome: (service: string) => ReadonlySet<string>;
+}
--- /dev/null
+++ b/src/callers/handler.ts
@@ -0,0 +1,225 @@
+/** Handles callers' requests: entries answers, and requests on their way to upstreams. */
+
+import type * as http from "node:http";
+import type * as configuration from "../configuration/index.js";
+import type * as context from "../kernel/context.js";
+import * as errors from "../kernel/errors.js";
+import type * as kernel from "../kernel/kernel.js";
+import type * as orders from "../orders/index.js";
+import type * as peers from "../peers/index.js";
+import * as requests from "../requests/index.js";
+import * as answer from "./answer.js";
+import * as callerMetrics from "./callerMetrics.js";
+import * as entries from "./entries.js";
+import * as parseRequest from "./parseRequest.js";
+import * as readBody from "./readBody.js";
+import * as retiredCalls from "./retiredCalls.js";
+
+/** How long beyond the deadline an order's own answer is waited for, in milliseconds. */
+const orderGraceMs = 100;
+const entriesPath = "/v1/entries";
+
+/** Options of the handler. */
+export interface CreateHandlerOptions {
+    readonly context: context.Context;
+    readonly configuration: configuration.ConfigurationService;
+    readonly mesh: peers.Mesh;
+    readonly executor: requests.ExecutorContext;
+    readonly orders: orders.Orders;
+    readonly lifecycle: kernel.Lifecycle;
+}
+
+/** Handles the requests of the callers' port. */
+export class Handler {
+    private readonly metrics: callerMetrics.CallerMetrics;
+    private readonly bodies: readBody.BodyReader;
+    private readonly retired = new retiredCalls.RetiredCallLog();
+    private inFlight = 0;
+
+    constructor(private readonly options: CreateHandlerOptions) {
+        this.metrics = new callerMetrics.CallerMetrics(options.context);
+        this.bodies = new readBody.BodyReader(options.context);
+    }
+
+    /** Returns the requests under way. */
+    getInFlight(): number {
+        return this.inFlight;
+    }
+
+    /** Returns the refused calls of retired features. */
+    getRetiredCalls(): readonly retiredCalls.RetiredCalls[] {
+        return this.retired.listCalls();
+    }
+
+    /**
+     * Handles a request.
+     * @param request - The request.
+     * @param response - Its answer.
+     */
+    async handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        this.inFlight += 1;
+        try {
+            if (request.method === "GET" && (request.url === entriesPath || request.url?.startsWith(`${entriesPath}?`))) {
+                this.answerEntries(request, response);
+                return;
+            }
+            await this.handleProxied(request, response);
+        }
+        catch (thrown) {
+            this.options.context.logger.writeError("request-failed", "handling a request threw", { error: errors.getThrownMessage(thrown) });
+            answer.writeError(response, errors.createError("internal"), this.options.context);
+            response.destroy();
+        }
+        finally {
+            this.inFlight -= 1;
+        }
+    }
+
+    private answerEntries(request: http.IncomingMessage, response: http.ServerResponse): void {
+        const { mesh, orders: orderService, configuration: configurations, lifecycle, context: { settings } } = this.options;
+        const query = new URL(request.url ?? "", "http://fleet").searchParams;
+        const isRunning = lifecycle.getState() === "running" && !configurations.isStale();
+        const prefix = isRunning ? orderService.createPrefix() : undefined;
+        answer.writeJson(response, {
+            entries: entries.listEntries({ members: mesh.listMembers(), workspace: query.get("workspace") ?? "", failureDomain: query.get("failureDomain") ?? "" }),
+            keepForMs: settings.entriesTtlMs,
+            orderKeyPrefix: prefix?.prefix,
+            orderKeyPrefixValidMs: prefix?.validMs,
+            configurationVersion: configurations.getCurrent()?.head.version ?? 0,
+        });
+    }
+
+    private async handleProxied(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        const { context: shared } = this.options;
+        const startedAt = shared.clock.getNow();
+        const keyText = parseRequest.parseSingleHeader(request, requests.fleetHeaders.orderKey);
+        if (keyText.isErr()) {
+            request.resume();
+            answer.writeError(response, keyText.error, shared);
+            return;
+        }
+        const compiled = this.options.configuration.getCurrent();
+        const refusal = this.getRefusal(request, compiled);
+        if (compiled === undefined || refusal !== undefined) {
+            await this.rejectRequest(request, response, keyText.value, refusal ?? errors.createError("notConfigured"));
+            return;
+        }
+        const parsed = parseRequest.parseRequest(request, compiled);
+        if (parsed.isErr()) {
+            await this.rejectRequest(request, response, keyText.value, parsed.error);
+            return;
+        }
+        const { route } = parsed.value;
+        const body = await this.bodies.readBody(request);
+        if (body.isErr()) {
+            await this.rejectRequest(request, response, keyText.value, body.error);
+            return;
+        }
+        const fleetRequest: requests.FleetRequest = {
+            method: request.method ?? "",
+            path: request.url ?? "",
+            rawHeaders: request.rawHeaders,
+            body: body.value.body,
+            route,
+            workspace: parsed.value.workspace,
+            feature: parsed.value.feature,
+            deadlineAt: startedAt + parsed.value.deadlineMs,
+            signal: createCallerSignal(response),
+        };
+        try {
+            await this.runRequest(request, response, fleetRequest, keyText.value, startedAt);
+        }
+        finally {
+            body.value.release();
+        }
+    }
+
+    private async runRequest(request: http.IncomingMessage, response: http.ServerResponse, fleetRequest: requests.FleetRequest, keyText: string | undefined, startedAt: number): Promise<void> {
+        const { context: shared, executor, orders: orderService } = this.options;
+        const { route } = fleetRequest;
+        // The configuration may have changed while the body came, so the feature is looked at again.
+        if (this.isRetired(fleetRequest.feature)) {
+            this.recordRetired(request, fleetRequest.feature!, fleetRequest.workspace);
+            await this.rejectRequest(request, response, keyText, errors.createError("featureRetired", `the feature ${fleetRequest.feature} is retired`));
+            return;
+        }
+        if (route.repeatable) {
+            const summary = await requests.runRepeatable(executor, fleetRequest, response);
+            if (summary.error !== undefined) {
+                answer.writeError(response, summary.error, shared, summary.attempts);
+            }
+            this.metrics.recordRequest({ service: route.service, rank: route.rank, outcome: summary.outcome, status: summary.status, latencyMs: shared.clock.getNow() - startedAt });
+            return;
+        }
+        const forwardedBy = requests.getValues(request.rawHeaders, requests.fleetHeaders.forwardedBy)[0];
+        const kept = await this.waitForOutcome(orderService.runOrder(fleetRequest, keyText, forwardedBy), fleetRequest.deadlineAt);
+        answer.writeOutcome(response, kept, shared);
+        const outcome = kept.kind === "answer" ? kept.outcome : errors.getAnswer(kept.error).outcome;
+        this.metrics.recordRequest({ service: route.service, rank: route.rank, outcome, status: response.statusCode, latencyMs: shared.clock.getNow() - startedAt });
+    }
+
+    /** Waits for an order's outcome until the caller's deadline; the order itself goes on. */
+    private waitForOutcome(outcome: Promise<orders.KeptOutcome>, deadlineAt: number): Promise<orders.KeptOutcome> {
+        const { loop, clock } = this.options.context;
+        return new Promise((resolve, reject) => {
+            const delayMs = Math.max(0, deadlineAt - clock.getNow()) + orderGraceMs;
+            const cancel = loop.scheduleOnce(delayMs, () => resolve({ kind: "error", error: errors.createError("deadlineAfterSend", "the deadline passed; a repeat with the same order key is told the outcome"), attempts: 0 }));
+            outcome.then(resolve, reject).finally(cancel);
+        });
+    }
+
+    /** Refuses a request; one with an order key is told the truth about its key. */
+    private async rejectRequest(request: http.IncomingMessage, response: http.ServerResponse, keyText: string | undefined, error: errors.FleetError): Promise<void> {
+        request.resume();
+        if (error.kind === "bodyTooLarge" || error.kind === "badRequest") {
+            response.setHeader("connection", "close");
+        }
+        const kept = keyText === undefined ? undefined : await this.options.orders.resolveRefusal(keyText, error);
+        if (kept !== undefined) {
+            answer.writeOutcome(response, kept, this.options.context);
+            return;
+        }
+        answer.writeError(response, error, this.options.context);
+        this.metrics.recordRefusal(error.kind);
+    }
+
+    private getRefusal(request: http.IncomingMessage, compiled: configuration.CompiledConfiguration | undefined): errors.FleetError | undefined {
+        if (compiled === undefined) {
+            return errors.createError("notConfigured");
+        }
+        if (this.options.configuration.isStale()) {
+            return errors.createError("configurationStale");
+        }
+        const parsed = parseRequest.parseRequest(request, compiled);
+        if (parsed.isOk() && this.isRetired(parsed.value.feature)) {
+            this.recordRetired(request, parsed.value.feature!, parsed.value.workspace);
+            return errors.createError("featureRetired", `the feature ${parsed.value.feature} is retired`);
+        }
+        return undefined;
+    }
+
+    private isRetired(feature: string | undefined): boolean {
+        return feature !== undefined && this.options.configuration.getCurrent()?.retiredFeatures.has(feature) === true;
+    }
+
+    private recordRetired(request: http.IncomingMessage, feature: string, workspace: string): void {
+        const agent = (request.headers["user-agent"] ?? "").slice(0, 80);
+        this.retired.recordCall({
+            feature,
+            workspace,
+            caller: `${request.socket.remoteAddress ?? ""} ${agent}`.trim(),
+            lastWallTimeMs: this.options.context.clock.getWallTime(),
+        });
+    }
+}
+
+/** Creates a signal that is aborted when the caller's connection closes before the answer is complete. */
+function createCallerSignal(response: http.ServerResponse): AbortSignal {
+    const controller = new AbortController();
+    response.once("close", () => {
+        if (!response.writableFinished) {
+            controller.abort();
+        }
+    });
+    return controller.signal;
+}
--- /dev/null
+++ b/src/callers/index.ts
@@ -0,0 +1,41 @@
+/** The plug-in that serves callers. */
+
+import * as configuration from "../configuration/index.js";
+import * as kernel from "../kernel/kernel.js";
+import * as plugins from "../kernel/plugins.js";
+import * as services from "../kernel/services.js";
+import * as orders from "../orders/index.js";
+import * as peers from "../peers/index.js";
+import * as requests from "../requests/index.js";
+import * as callerServer from "./callerServer.js";
+import * as handler from "./handler.js";
+
+export type { Handler } from "./handler.js";
+
+/** The key of the callers' handler. */
+export const handlerKey = services.createKey<handler.Handler>("handler");
+
+plugins.registerPlugin({
+    name: "callers",
+    dependsOn: ["configuration", "orders", "peers", "requests"],
+    create: shared => {
+        const mesh = shared.services.getService(peers.meshKey);
+        const orderService = shared.services.getService(orders.ordersKey);
+        const created = new handler.Handler({
+            context: shared,
+            configuration: shared.services.getService(configuration.configurationKey),
+            mesh,
+            executor: shared.services.getService(requests.executorKey),
+            orders: orderService,
+            lifecycle: shared.services.getService(kernel.lifecycleKey),
+        });
+        shared.services.setService(handlerKey, created);
+        const server = new callerServer.CallerServer({ context: shared, handler: created, mesh, orders: orderService });
+        return {
+            start: () => server.start(),
+            drain: () => server.drain(),
+            stop: () => server.stop(),
+            getDump: () => ({ inFlight: created.getInFlight(), retiredCalls: created.getRetiredCalls() }),
+        };
+    },
+});
--- /dev/null
+++ b/src/cli/clientCommands.ts
@@ -0,0 +1,168 @@
+/** The commands that operators drive the fleet with. */
+
+import * as fs from "node:fs";
+import { z } from "zod";
+import * as configuration from "../configuration/index.js";
+import * as errors from "../kernel/errors.js";
+import type * as operatorPb from "../rpc/agatebend/v1/operator_pb.js";
+import * as operatorClient from "./operatorClient.js";
+import * as output from "./output.js";
+
+const retiredSchema = z.object({ retiredFeatures: z.array(z.string()), calls: z.array(z.looseObject({ feature: z.string() })) });
+const poolsSchema = z.record(z.string(), z.object({ upstreams: z.array(z.looseObject({})) }));
+
+/** Options of a change. */
+export interface ChangeOptions extends operatorClient.ClientOptions {
+    readonly changeId: string;
+    readonly waitMs: number;
+}
+
+/**
+ * Applies a configuration file.
+ * @param options - The file, the version it is based on, and the client's options.
+ */
+export async function runApply(options: ChangeOptions & { readonly file: string; readonly baseVersion: number; }): Promise<void> {
+    const text = readFile(options.file, options.json);
+    if (text === undefined) {
+        return;
+    }
+    const { rpc } = operatorClient.createOperatorClient(options);
+    const answer = await operatorClient.sendToInstance(() => rpc.apply({ configurationJson: text, baseVersion: BigInt(options.baseVersion), changeId: options.changeId, waitMs: options.waitMs }));
+    answer.match(change => printChange(change, options), error => output.printError(error, options.json));
+}
+
+/**
+ * Prints a section of an instance's state.
+ * @param options - The section and the client's options.
+ */
+export async function runGet(options: operatorClient.ClientOptions & { readonly section: string; }): Promise<void> {
+    const { rpc } = operatorClient.createOperatorClient(options);
+    const answer = await operatorClient.sendToInstance(() => rpc.get({ section: options.section }));
+    answer.match(({ version, json }) => {
+        const value = JSON.parse(json) as unknown;
+        if (options.section === "configuration" || options.json) {
+            output.printJson(options.json ? { version, [options.section]: value } : value);
+            return;
+        }
+        process.stdout.write(`version ${version}\n`);
+        output.printTable(createRows(value));
+    }, error => output.printError(error, options.json));
+}
+
+/**
+ * Retires features.
+ * @param options - The features and the client's options.
+ */
+export async function runRetire(options: ChangeOptions & { readonly features: readonly string[]; }): Promise<void> {
+    const { rpc } = operatorClient.createOperatorClient(options);
+    const answer = await operatorClient.sendToInstance(() => rpc.retire({ features: [...options.features], changeId: options.changeId, waitMs: options.waitMs }));
+    answer.match(change => printChange(change, options), error => output.printError(error, options.json));
+}
+
+/**
+ * Drains an instance or an upstream.
+ * @param options - What to drain and the client's options.
+ */
+export async function runDrain(options: operatorClient.ClientOptions & { readonly instance: string; readonly upstream: string; readonly changeId: string; }): Promise<void> {
+    if ((options.instance === "") === (options.upstream === "")) {
+        output.printError(errors.createError("badRequest", "drain: name either --instance ID or --upstream SERVICE/UPSTREAM"), options.json);
+        return;
+    }
+    const { rpc } = operatorClient.createOperatorClient(options);
+    const target = options.instance === "" ? { case: "upstream" as const, value: options.upstream } : { case: "instanceId" as const, value: options.instance };
+    const answer = await operatorClient.sendToInstance(() => rpc.drain({ target, changeId: options.changeId }));
+    answer.match(({ detail, version }) => {
+        if (options.json) {
+            output.printJson({ detail, version });
+            return;
+        }
+        process.stdout.write(`${detail}${version === 0n ? "" : ` (version ${version})`}\n`);
+    }, error => output.printError(error, options.json));
+}
+
+/**
+ * Prints the members and the versions they have in force.
+ * @param options - The client's options.
+ */
+export async function runStatus(options: operatorClient.ClientOptions): Promise<void> {
+    const { rpc } = operatorClient.createOperatorClient(options);
+    const answer = await operatorClient.sendToInstance(() => rpc.status({}));
+    answer.match(status => {
+        if (options.json) {
+            output.printJson({
+                instanceId: status.instanceId,
+                version: status.version,
+                instances: status.instances.map(({ instanceId, failureDomain, callerAddress, state, version }) => ({ instanceId, failureDomain, callerAddress, state, version })),
+            });
+            return;
+        }
+        process.stdout.write(`${status.instanceId} has version ${status.version} in force\n`);
+        output.printTable(status.instances.map(({ instanceId, failureDomain, callerAddress, state, version }) => ({ instance: instanceId, domain: failureDomain, callers: callerAddress, state, version: Number(version) })));
+    }, error => output.printError(error, options.json));
+}
+
+/**
+ * Checks a configuration file without an instance.
+ * @param options - The file, and whether to print JSON.
+ */
+export function runCheck(options: { readonly file: string; readonly json: boolean; }): void {
+    const text = readFile(options.file, options.json);
+    if (text === undefined) {
+        return;
+    }
+    configuration.parseDocument(text).match(document => {
+        const counts = {
+            services: Object.keys(document.services).length,
+            upstreams: Object.values(document.services).reduce((sum, service) => sum + service.upstreams.length, 0),
+            routes: document.routes.length,
+            ranks: document.ranks.length,
+            retiredFeatures: document.retiredFeatures.length,
+        };
+        if (options.json) {
+            output.printJson({ valid: true, ...counts });
+            return;
+        }
+        process.stdout.write(`${options.file} is valid\n`);
+        output.printTable([counts]);
+    }, error => output.printError(error, options.json));
+}
+
+function readFile(file: string, isJson: boolean): string | undefined {
+    try {
+        return fs.readFileSync(file, "utf8");
+    }
+    catch (thrown) {
+        output.printError(errors.createError("configurationInvalid", `${file}: ${errors.getThrownMessage(thrown)}`), isJson);
+        return undefined;
+    }
+}
+
+function printChange(change: operatorPb.ChangeResponse, options: ChangeOptions): void {
+    const { version, changeId, instancesKnown, instancesInForce } = change;
+    if (options.json) {
+        output.printJson({ version, changeId, instancesKnown, instancesInForce });
+        return;
+    }
+    process.stdout.write(`version ${version} (change ${changeId}) accepted; in force at ${instancesInForce} of ${instancesKnown} instances\n`);
+}
+
+/** Flattens a section into rows: one for each item of its first list. */
+function createRows(value: unknown): readonly output.Row[] {
+    const items = Array.isArray(value) ? value : listNested(value);
+    return items.map(item => {
+        const fields = Object.entries(item as Record<string, unknown>);
+        return Object.fromEntries(fields.map(([name, field]) => [name, typeof field === "object" ? JSON.stringify(field) : field as string | number | boolean]));
+    });
+}
+
+function listNested(value: unknown): readonly unknown[] {
+    const retired = retiredSchema.safeParse(value);
+    if (retired.success) {
+        const { retiredFeatures, calls } = retired.data;
+        const called = new Set(calls.map(call => call.feature));
+        const uncalled = retiredFeatures.filter(feature => !called.has(feature)).map(feature => ({ feature, workspace: "", caller: "", count: 0, lastWallTimeMs: 0 }));
+        return [...calls, ...uncalled];
+    }
+    const pools = poolsSchema.parse(value);
+    return Object.entries(pools).flatMap(([service, { upstreams }]) => upstreams.map(upstream => ({ service, ...upstream })));
+}
--- /dev/null
+++ b/src/configuration/configurationService.ts
@@ -0,0 +1,183 @@
+/** What operators and other plug-ins use of the configuration. */
+
+import { err, ok, type Result } from "neverthrow";
+import type * as context from "../kernel/context.js";
+import * as errors from "../kernel/errors.js";
+import * as services from "../kernel/services.js";
+import type * as peers from "../peers/index.js";
+import type * as store from "../store/index.js";
+import * as changeWriter from "./changeWriter.js";
+import * as checkDocument from "./checkDocument.js";
+import type * as compiled from "./compiled.js";
+import * as configurationState from "./configurationState.js";
+import * as freshness from "./freshness.js";
+import * as peerSync from "./peerSync.js";
+import type * as schema from "./schema.js";
+import * as storeSync from "./storeSync.js";
+
+/** Milliseconds between two judgements of freshness. */
+const freshnessIntervalMs = 250;
+/** How often a change made from the configuration in force is tried again after losing to another. */
+const editAttempts = 5;
+
+/** The result of a change. */
+export interface ChangeResult {
+    readonly version: number;
+    readonly changeId: string;
+}
+
+/** A change of the document in force; a problem rejects it. */
+export type Edit = (document: schema.ConfigurationDocument) => Result<schema.ConfigurationDocument, errors.FleetError>;
+
+/** Options of the configuration service. */
+export interface CreateConfigurationServiceOptions {
+    readonly context: context.Context;
+    readonly store: store.StoreService;
+    readonly mesh: peers.Mesh;
+}
+
+/** The configuration of the fleet as this instance knows it. */
+export class ConfigurationService {
+    private readonly state = new configurationState.ConfigurationState();
+    private readonly writer: changeWriter.ChangeWriter;
+    private readonly peerSync: peerSync.PeerSync;
+    private readonly storeSync: storeSync.StoreSync;
+    private readonly freshness: freshness.Freshness;
+
+    constructor(private readonly options: CreateConfigurationServiceOptions) {
+        const { context: shared, store: platform, mesh } = options;
+        const { state } = this;
+        this.freshness = new freshness.Freshness({ staleAfterMs: shared.settings.staleAfterMs }, shared.clock.getNow());
+        this.writer = new changeWriter.ChangeWriter({ store: platform, getVersionInForce: () => state.getVersion(), getHeadInForce: () => state.getCurrent()?.head });
+        this.peerSync = new peerSync.PeerSync({ context: shared, mesh, state });
+        this.storeSync = new storeSync.StoreSync({ context: shared, store: platform, mesh, state, writer: this.writer, isIsolated: () => this.freshness.isUnconfirmed(shared.clock.getNow()) });
+    }
+
+    /** Begins to follow the store and the peers. */
+    start(): void {
+        const { loop } = this.options.context;
+        this.peerSync.start();
+        this.storeSync.start();
+        loop.scheduleRepeatedly(freshnessIntervalMs, () => this.recordFreshness());
+    }
+
+    /** Stops following. */
+    stop(): void {
+        this.storeSync.stop();
+    }
+
+    /** Returns the configuration in force. */
+    getCurrent(): compiled.CompiledConfiguration | undefined {
+        return this.state.getCurrent();
+    }
+
+    /** Returns whether a newer version may be in force elsewhere without this instance having heard of it. */
+    isStale(): boolean {
+        return this.options.context.settings.store !== "memory:" && this.freshness.isStale(this.options.context.clock.getNow());
+    }
+
+    /**
+     * Calls back after each new version.
+     * @param listener - The callback.
+     */
+    addListener(listener: configurationState.ConfigurationListener): void {
+        this.state.addListener(listener);
+    }
+
+    /**
+     * Replaces the whole configuration.
+     * @param text - The document as JSON.
+     * @param baseVersion - The version it is based on; 0 for the one in force here.
+     * @param changeId - The operator's identifier of the change; random where empty.
+     */
+    async applyText(text: string, baseVersion: number, changeId: string): Promise<Result<ChangeResult, errors.FleetError>> {
+        const document = checkDocument.parseDocument(text);
+        if (document.isErr()) {
+            return err(document.error);
+        }
+        return this.writeDocument(document.value, baseVersion === 0 ? this.state.getVersion() : baseVersion, changeId);
+    }
+
+    /**
+     * Changes the configuration in force; tries again on top of a change that came first.
+     * @param edit - The change.
+     * @param changeId - The operator's identifier of the change; random where empty.
+     */
+    async applyEdit(edit: Edit, changeId: string): Promise<Result<ChangeResult, errors.FleetError>> {
+        const id = changeId === "" ? this.options.context.randomness.getIdentifier(8) : changeId;
+        let last: Result<ChangeResult, errors.FleetError> = err(errors.createError("notConfigured"));
+        for (let attempt = 0; attempt < editAttempts; attempt += 1) {
+            const current = this.state.getCurrent();
+            const edited = current === undefined ? err(errors.createError("notConfigured")) : edit(current.document);
+            if (current === undefined || edited.isErr()) {
+                return edited.isErr() ? err(edited.error) : last;
+            }
+            last = await this.writeDocument(edited.value, current.head.version, id);
+            if (last.isOk() || last.error.kind !== "configurationConflict") {
+                return last;
+            }
+            await this.readNewer();
+        }
+        return last;
+    }
+
+    /**
+     * Counts the instances that have reported a version, or a later one, in force.
+     * @param version - The version.
+     */
+    getProgress(version: number): { readonly known: number; readonly inForce: number; } {
+        const known = this.options.mesh.listMembers().filter(member => member.state !== "suspect");
+        return { known: known.length, inForce: known.filter(member => member.configurationVersion >= version).length };
+    }
+
+    /** Returns the configuration's state for the dump. */
+    getDump(): unknown {
+        const current = this.state.getCurrent();
+        return {
+            version: this.state.getVersion(),
+            changeId: current?.head.changeId,
+            chunks: current === undefined ? 0 : Object.keys(current.head.chunks).length,
+            bytes: [...this.state.getTexts().values()].reduce((sum, text) => sum + text.length, 0),
+            isWatchingStore: this.storeSync.isWatcher(),
+            isStale: this.isStale(),
+            retiredFeatures: current?.document.retiredFeatures ?? [],
+        };
+    }
+
+    private async writeDocument(document: schema.ConfigurationDocument, baseVersion: number, changeId: string): Promise<Result<ChangeResult, errors.FleetError>> {
+        const { logger, randomness } = this.options.context;
+        const id = changeId === "" ? randomness.getIdentifier(8) : changeId;
+        const accepted = await this.writer.writeChange({ document, baseVersion, changeId: id });
+        if (accepted.isErr()) {
+            logger.writeWarning("configuration-refused", accepted.error.message, { changeId: id, kind: accepted.error.kind });
+            return err(accepted.error);
+        }
+        const { head, texts, isRepeat } = accepted.value;
+        if (!isRepeat) {
+            const adopted = this.state.setCurrent(head, texts);
+            logger.writeInfo("configuration-accepted", `version ${head.version} was accepted`, { version: head.version, changeId: id });
+            return adopted.map(() => ({ version: head.version, changeId: id }));
+        }
+        return ok({ version: head.version, changeId: id });
+    }
+
+    private async readNewer(): Promise<void> {
+        const stored = await this.writer.readHead();
+        const head = stored.isOk() ? stored.value.head : undefined;
+        if (head !== undefined && head.version > this.state.getVersion()) {
+            const texts = await this.writer.readChunks(this.state.listMissing(head));
+            texts.andThen(received => this.state.setCurrent(head, received));
+        }
+    }
+
+    private recordFreshness(): void {
+        const { mesh, context: shared, store: platform } = this.options;
+        const others = mesh.listMembers().filter(member => member.instanceId !== shared.identity.instanceId);
+        const heard = others.filter(member => member.state !== "suspect").map(member => member.instanceId);
+        const leaving = others.filter(member => member.state === "draining").map(member => member.instanceId);
+        this.freshness.recordInput({ heard, leaving, storeSilenceMs: platform.getSilenceMs() }, shared.clock.getNow());
+    }
+}
+
+/** The key of the configuration service. */
+export const configurationKey = services.createKey<ConfigurationService>("configuration");
--- /dev/null
+++ b/src/configuration/freshness.ts
@@ -0,0 +1,71 @@
+/** Whether this instance may rely on hearing of a newer configuration. */
+
+/** How long an instance that fell silent without draining counts as one of the fleet, in milliseconds. */
+const rememberedMs = 3_600_000;
+
+/** What freshness is judged by. */
+export interface FreshnessInput {
+    /** The other instances heard within the limit; those that are draining count. */
+    readonly heard: readonly string[];
+    /** The instances that announced that they leave. */
+    readonly leaving: readonly string[];
+    /** Milliseconds since the store answered. */
+    readonly storeSilenceMs: number;
+}
+
+/** Options of the judgement. */
+export interface CreateFreshnessOptions {
+    /** How long the instance may be cut off before it is stale, in milliseconds. */
+    readonly staleAfterMs: number;
+}
+
+/** Judges freshness; it is told the time, in monotonic milliseconds. */
+export class Freshness {
+    private readonly lastHeardAt = new Map<string, number>();
+    private confirmedAt: number;
+
+    constructor(private readonly options: CreateFreshnessOptions, now: number) {
+        this.confirmedAt = now;
+    }
+
+    /**
+     * Records what is heard now.
+     * @param input - What is heard.
+     * @param now - The time.
+     */
+    recordInput(input: FreshnessInput, now: number): void {
+        input.heard.forEach(id => this.lastHeardAt.set(id, now));
+        input.leaving.forEach(id => this.lastHeardAt.delete(id));
+        for (const [id, at] of this.lastHeardAt) {
+            if (now - at > rememberedMs) {
+                this.lastHeardAt.delete(id);
+            }
+        }
+        const isStoreHeard = input.storeSilenceMs <= this.options.staleAfterMs;
+        if (isStoreHeard || this.isMajorityHeard(input)) {
+            this.confirmedAt = now;
+        }
+    }
+
+    /**
+     * Returns whether the instance has been cut off for too long.
+     * @param now - The time.
+     */
+    isStale(now: number): boolean {
+        return now - this.confirmedAt > this.options.staleAfterMs;
+    }
+
+    /**
+     * Returns whether the instance lacks the confirmation of the last moments and should ask the store itself.
+     * @param now - The time.
+     */
+    isUnconfirmed(now: number): boolean {
+        return now - this.confirmedAt > this.options.staleAfterMs / 2;
+    }
+
+    /** The instance itself counts as heard, so that of two instances either one goes on alone. */
+    private isMajorityHeard(input: FreshnessInput): boolean {
+        const expected = this.lastHeardAt.size + 1;
+        return (input.heard.length + 1) * 2 >= expected;
+    }
+}
--- /dev/null
+++ b/src/configuration/index.ts
@@ -0,0 +1,43 @@
+/** The plug-in that keeps the operators' configuration in force. */
+
+import * as fs from "node:fs";
+import * as plugins from "../kernel/plugins.js";
+import * as peers from "../peers/index.js";
+import * as store from "../store/index.js";
+import * as configurationService from "./configurationService.js";
+
+export { checkDocument, parseDocument } from "./checkDocument.js";
+export { type CompiledConfiguration, type CompiledRoute, findRoute } from "./compiled.js";
+export { configurationKey, type ConfigurationService } from "./configurationService.js";
+export { type ConfigurationDocument, documentSchema, type RankDefinition, type RouteDefinition, type ServiceDefinition, type UpstreamDefinition } from "./schema.js";
+
+plugins.registerPlugin({
+    name: "configuration",
+    dependsOn: ["store", "peers"],
+    create: shared => {
+        const service = new configurationService.ConfigurationService({
+            context: shared,
+            store: shared.services.getService(store.storeKey),
+            mesh: shared.services.getService(peers.meshKey),
+        });
+        shared.services.setService(configurationService.configurationKey, service);
+        return {
+            start: async () => {
+                service.start();
+                if (shared.settings.configuration !== "") {
+                    await applyInitialFile(service, shared.settings.configuration);
+                }
+            },
+            stop: async () => service.stop(),
+            getDump: () => service.getDump(),
+        };
+    },
+});
+
+/** Applies the file that the settings name; where the store already holds a configuration, that one stays. */
+async function applyInitialFile(service: configurationService.ConfigurationService, path: string): Promise<void> {
+    const applied = await service.applyText(fs.readFileSync(path, "utf8"), 0, "initial-file");
+    if (applied.isErr() && applied.error.kind === "configurationInvalid") {
+        throw new Error(`${path}: ${applied.error.message}`);
+    }
+}
--- /dev/null
+++ b/src/configuration/schema.ts
@@ -0,0 +1,89 @@
+/** The schema of the operators' configuration document. */
+
+import { z } from "zod";
+
+const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, "must be 1 to 63 letters, digits, '.', '-' or '_', and begin with a letter or digit");
+const milliseconds = z.number().int().min(1).max(86_400_000);
+const headerName = z.string().regex(/^[a-z0-9-]{1,64}$/, "must be a header name in lower case");
+
+/** One machine of a service. */
+export const upstreamSchema = z.strictObject({
+    id: name,
+    address: z.string().regex(/^(\[[0-9a-fA-F:]+\]|[^:\s/]+):\d{1,5}$/, "must be HOST:PORT"),
+    failureDomain: name,
+    /** A leaving upstream gets no new work. */
+    state: z.enum(["live", "leaving"]).default("live"),
+});
+
+/** How a service refuses a request that it has not run. */
+const shedSchema = z.strictObject({
+    status: z.number().int().min(400).max(599).default(503),
+    /** The header that marks such an answer; without it the status alone proves nothing. */
+    header: headerName.default("x-shed"),
+});
+
+/** A pool of upstreams. */
+export const serviceSchema = z.strictObject({
+    upstreams: z.array(upstreamSchema).min(1).max(4_096),
+    /** Requests that one upstream works on at once. */
+    slots: z.number().int().min(1).max(10_000),
+    /** Connections that one upstream accepts from the whole fleet. */
+    connections: z.number().int().min(1).max(1_000_000),
+    /** The fewest upstreams that ejection must leave routable. */
+    floor: z.number().int().min(0),
+    shed: shedSchema.prefault({}),
+    /** The header by which an upstream says on an answer that it is leaving. */
+    drainingHeader: headerName.default("x-draining"),
+    /** The header that carries the milliseconds left until the deadline to the upstream. */
+    deadlineHeader: headerName.default("x-deadline-ms"),
+    /** The age from which a request may count as stalled, however fast the service usually is. */
+    minimumStallMs: milliseconds.default(250),
+});
+
+/** Which requests go to which service. */
+export const routeSchema = z.strictObject({
+    name,
+    service: name,
+    rank: name,
+    methods: z.array(z.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"])).min(1),
+    /** Matches whole path segments; the longest match wins. */
+    pathPrefix: z.string().regex(/^\/[^\s?#]*$/, "must begin with / and hold no blank, ? or #").max(1_024),
+    /** Whether running a request twice does no harm. */
+    repeatable: z.boolean(),
+    /** Whether a request that is not repeatable must bring an order key. */
+    orderKey: z.enum(["required", "optional"]).default("required"),
+    /** The feature that requests of this route belong to, where they name none. */
+    feature: name.optional(),
+    /** The deadline of a request that names none. */
+    deadlineMs: milliseconds,
+});
+
+/** A kind of work; the document lists the most urgent first. */
+export const rankSchema = z.strictObject({
+    name,
+    /** The part of a service's capacity that the rank keeps while others flood, from 0 to 1. */
+    guaranteedShare: z.number().min(0).max(1),
+});
+
+/** The whole document. */
+export const documentSchema = z.strictObject({
+    ranks: z.array(rankSchema).min(1).max(16),
+    services: z.record(name, serviceSchema),
+    routes: z.array(routeSchema).max(100_000),
+    retiredFeatures: z.array(name).max(100_000).default([]),
+});
+
+/** The operators' configuration with defaults filled in. */
+export type ConfigurationDocument = z.infer<typeof documentSchema>;
+
+/** A pool of upstreams. */
+export type ServiceDefinition = z.infer<typeof serviceSchema>;
+
+/** One machine of a service. */
+export type UpstreamDefinition = z.infer<typeof upstreamSchema>;
+
+/** Which requests go to which service. */
+export type RouteDefinition = z.infer<typeof routeSchema>;
+
+/** A kind of work. */
+export type RankDefinition = z.infer<typeof rankSchema>;
--- /dev/null
+++ b/src/detection/detection.ts
@@ -0,0 +1,290 @@
+/** Detects upstreams that fail real work: shares evidence, decides in one place for each service, applies the verdicts. */
+
+import * as promClient from "prom-client";
+import { z } from "zod";
+import type * as context from "../kernel/context.js";
+import * as randomness from "../kernel/randomness.js";
+import type * as peers from "../peers/index.js";
+import type * as pool from "../pool/index.js";
+import * as ejections from "./ejections.js";
+import * as evidence from "./evidence.js";
+import * as judge from "./judge.js";
+import * as verdicts from "./verdicts.js";
+
+/** Milliseconds between two looks at the evidence. */
+const lookIntervalMs = 100;
+/** Looks between two reports while nothing is wrong. */
+const looksPerQuietReport = 5;
+/** A report older than this is left out, in milliseconds. */
+const reportLifeMs = 1_500;
+/** Attempts gone wrong in a row from which this instance prefers other upstreams by itself. */
+const avoidAfterBad = 2;
+/** How long such a preference lasts after the last sign, in milliseconds. */
+const avoidMs = 1_000;
+/** How long an instance must have followed a decider before it counts, in milliseconds. */
+const followHoldMs = 3_500;
+/** How long a silent instance still counts as one of the fleet, in milliseconds. */
+const rememberedMs = 3_600_000;
+const reportTopic = "evidence";
+const followTopic = "followed";
+const verdictTopicPrefix = "verdicts:";
+
+const reportSchema = z.strictObject({ services: z.record(z.string(), z.array(evidence.entrySchema).max(10_000)) });
+const followSchema = z.record(z.string(), z.string());
+
+interface ReceivedReport {
+    readonly receivedAt: number;
+    readonly entries: readonly evidence.EvidenceEntry[];
+}
+
+interface ServiceState {
+    readonly ejections: ejections.Ejections;
+    readonly reports: Map<string, ReceivedReport>;
+    /** When each follower was first seen to follow this instance. */
+    readonly followedSince: Map<string, number>;
+    judgements: ReadonlyMap<string, judge.Judgement>;
+    decider: string;
+    decidingSince: number;
+    published: string;
+}
+
+/** Options of detection. */
+export interface CreateDetectionOptions {
+    readonly context: context.Context;
+    readonly pool: pool.Pool;
+    readonly mesh: peers.Mesh;
+}
+
+/** Detection at one instance. */
+export class Detection {
+    private readonly evidence: evidence.Evidence;
+    private readonly services = new Map<string, ServiceState>();
+    private readonly lastHeardAt = new Map<string, number>();
+    private readonly ejectionCounter: promClient.Counter<"service">;
+    private look = 0;
+    private followedText = "";
+
+    constructor(private readonly options: CreateDetectionOptions) {
+        const { pool: upstreamPool, mesh, context: shared } = options;
+        this.evidence = new evidence.Evidence({
+            getMedianMs: (service, route) => upstreamPool.latencies.getQuantile(service, route, 0.5),
+            getMinimumStallMs: service => upstreamPool.getServicePool(service)?.definition.minimumStallMs ?? 0,
+        });
+        upstreamPool.addObserver({ onEnd: (target, attempt, outcome, now) => this.evidence.recordEnd(target, attempt, outcome, now) });
+        mesh.setNoticeHandler(reportTopic, (origin, body) => this.receiveReport(origin, body));
+        this.ejectionCounter = new promClient.Counter({ name: "agatebend_ejections_total", help: "Ejections decided by this instance.", labelNames: ["service"], registers: [shared.metrics] });
+    }
+
+    /** Begins to look at the evidence. */
+    start(): void {
+        this.options.context.loop.scheduleRepeatedly(lookIntervalMs, () => this.runLook());
+    }
+
+    /** Returns the judgements and phases for the dump. */
+    getDump(): unknown {
+        return Object.fromEntries([...this.services].map(([service, state]) => [service, {
+            decider: state.decider,
+            isDecidedHere: this.isDecidedHere(state),
+            followers: this.listFollowers(service, state, this.options.context.clock.getNow()).length,
+            remainingEjections: this.getRemainingEjections(service, state),
+            phases: this.getVerdicts(service, state),
+            judgements: Object.fromEntries(state.judgements),
+        }]));
+    }
+
+    private runLook(): void {
+        const now = this.options.context.clock.getNow();
+        this.look += 1;
+        const members = this.options.mesh.listMembers();
+        members.filter(member => member.state !== "suspect").forEach(member => this.lastHeardAt.set(member.instanceId, now));
+        members.filter(member => member.state === "draining").forEach(member => this.lastHeardAt.delete(member.instanceId));
+        this.removeSilent(now);
+        const running = members.filter(member => member.state === "running").map(member => member.instanceId);
+        for (const servicePool of this.options.pool.listServicePools()) {
+            this.checkPool(servicePool, running, now);
+        }
+        this.publishFollowed();
+    }
+
+    private checkPool(servicePool: pool.ServicePool, running: readonly string[], now: number): void {
+        const state = this.getState(servicePool.name);
+        this.setDecider(servicePool.name, state, chooseDecider(servicePool.name, running) ?? this.options.context.identity.instanceId, now);
+        this.setAvoidance(servicePool, now);
+        this.sendReport(servicePool, state, now);
+        if (this.isDecidedHere(state)) {
+            this.decide(servicePool, state, now);
+        }
+        verdicts.applyVerdicts(servicePool.upstreams, this.getVerdicts(servicePool.name, state), this.options.context.identity.instanceId, now);
+    }
+
+    /** Prefers other upstreams where this instance itself sees one go wrong; this takes no capacity away. */
+    private setAvoidance(servicePool: pool.ServicePool, now: number): void {
+        for (const target of servicePool.upstreams) {
+            if (this.evidence.getBadInARow(target, now) >= avoidAfterBad || this.evidence.hasOverdue(target, now)) {
+                target.setAvoided(now + avoidMs);
+            }
+        }
+    }
+
+    private sendReport(servicePool: pool.ServicePool, state: ServiceState, now: number): void {
+        const entries = servicePool.upstreams.flatMap(target => this.evidence.getEntry(target, now) ?? []);
+        const isUrgent = entries.some(entry => entry.bad + entry.overdue > 0);
+        if (!isUrgent && this.look % looksPerQuietReport !== 0) {
+            return;
+        }
+        const { instanceId } = this.options.context.identity;
+        if (this.isDecidedHere(state)) {
+            state.reports.set(instanceId, { receivedAt: now, entries });
+            return;
+        }
+        if (entries.length > 0) {
+            this.options.mesh.sendNotice(state.decider, reportTopic, { services: { [servicePool.name]: entries } });
+        }
+    }
+
+    private receiveReport(origin: string, body: unknown): void {
+        const report = reportSchema.safeParse(body);
+        const now = this.options.context.clock.getNow();
+        for (const [service, entries] of Object.entries(report.data?.services ?? {})) {
+            this.getState(service).reports.set(origin, { receivedAt: now, entries });
+        }
+    }
+
+    private decide(servicePool: pool.ServicePool, state: ServiceState, now: number): void {
+        const { mesh, context: { logger } } = this.options;
+        const members = mesh.listMembers().filter(member => member.state !== "suspect");
+        const domains = new Map(members.map(member => [member.instanceId, member.failureDomain]));
+        const reports = [...state.reports]
+            .filter(([instanceId, report]) => now - report.receivedAt <= reportLifeMs && domains.has(instanceId))
+            .map(([instanceId, report]) => ({ instanceId, failureDomain: domains.get(instanceId)!, entries: report.entries.map(entry => addAge(entry, now - report.receivedAt)) }));
+        state.judgements = judge.createJudgements({
+            reports,
+            requiredInstances: Math.min(2, this.countKnown()),
+            requiredDomains: Math.min(2, new Set(domains.values()).size),
+        });
+        const changes = state.ejections.decidePhases({
+            now,
+            judgements: state.judgements,
+            live: servicePool.upstreams.filter(target => !target.isLeaving(now)).map(target => target.getId()),
+            floor: servicePool.definition.floor,
+            followers: this.listFollowers(servicePool.name, state, now),
+            knownInstances: this.countKnown(),
+        });
+        for (const { upstream, change, reason } of changes) {
+            logger.writeWarning(`upstream-${change}`, `${servicePool.name}/${upstream} is ${change}: ${reason}`, { service: servicePool.name, upstream, reason });
+            if (change === "ejected") {
+                this.ejectionCounter.inc({ service: servicePool.name });
+            }
+        }
+        this.publishVerdicts(servicePool.name, state, now);
+    }
+
+    private publishVerdicts(service: string, state: ServiceState, now: number): void {
+        const current = verdicts.createVerdicts(state.ejections, now);
+        const comparable = JSON.stringify(current.map(({ upstream, phase, assignedTo, recurrence }) => ({ upstream, phase, assignedTo, recurrence })));
+        if (comparable !== state.published) {
+            state.published = comparable;
+            this.options.mesh.setRegister(`${verdictTopicPrefix}${service}`, { verdicts: current });
+        }
+    }
+
+    private setDecider(service: string, state: ServiceState, decider: string, now: number): void {
+        if (decider === state.decider) {
+            return;
+        }
+        const { instanceId } = this.options.context.identity;
+        const inherited = this.getVerdicts(service, state);
+        state.decider = decider;
+        state.decidingSince = now;
+        state.reports.clear();
+        state.followedSince.clear();
+        state.ejections.removeAll();
+        if (decider === instanceId) {
+            inherited.forEach(verdict => state.ejections.setPhase(verdict.upstream, verdicts.createPhase(verdict, now), verdict.recurrence, now));
+            return;
+        }
+        if (state.published !== "") {
+            state.published = "";
+            this.options.mesh.setRegister(`${verdictTopicPrefix}${service}`, { verdicts: [] });
+        }
+    }
+
+    /** Returns the verdicts of the decider that this instance follows. */
+    private getVerdicts(service: string, state: ServiceState): readonly verdicts.Verdict[] {
+        const { mesh, context: { identity, clock } } = this.options;
+        if (state.decider === identity.instanceId) {
+            return verdicts.createVerdicts(state.ejections, clock.getNow());
+        }
+        const body = mesh.getRegisters(`${verdictTopicPrefix}${service}`).get(state.decider);
+        return verdicts.verdictsSchema.safeParse(body).data?.verdicts ?? [];
+    }
+
+    private publishFollowed(): void {
+        const followed = Object.fromEntries([...this.services].map(([service, state]) => [service, state.decider]));
+        const text = JSON.stringify(followed);
+        if (text !== this.followedText) {
+            this.followedText = text;
+            this.options.mesh.setRegister(followTopic, followed);
+        }
+    }
+
+    /** Lists the instances that have followed this one long enough for a former decider's verdicts to have lapsed there. */
+    private listFollowers(service: string, state: ServiceState, now: number): readonly string[] {
+        const { mesh, context: { identity } } = this.options;
+        const alive = new Set(mesh.listMembers().filter(member => member.state !== "suspect").map(member => member.instanceId));
+        const following = [...mesh.getRegisters(followTopic)]
+            .filter(([origin, body]) => alive.has(origin) && followSchema.safeParse(body).data?.[service] === identity.instanceId)
+            .map(([origin]) => origin);
+        for (const origin of state.followedSince.keys()) {
+            if (!following.includes(origin)) {
+                state.followedSince.delete(origin);
+            }
+        }
+        following.forEach(origin => state.followedSince.set(origin, state.followedSince.get(origin) ?? now));
+        return following.filter(origin => now - state.followedSince.get(origin)! >= followHoldMs);
+    }
+
+    private getRemainingEjections(service: string, state: ServiceState): number {
+        const servicePool = this.options.pool.getServicePool(service);
+        if (servicePool === undefined || !this.isDecidedHere(state)) {
+            return 0;
+        }
+        const now = this.options.context.clock.getNow();
+        const live = servicePool.upstreams.filter(target => !target.isLeaving(now)).length;
+        const followers = this.listFollowers(service, state, now).length;
+        return ejections.computeBudget(live, servicePool.definition.floor, followers, this.countKnown()) - state.ejections.countHeldBack();
+    }
+
+    private isDecidedHere(state: ServiceState): boolean {
+        return state.decider === this.options.context.identity.instanceId;
+    }
+
+    private countKnown(): number {
+        return Math.max(1, this.lastHeardAt.size);
+    }
+
+    private removeSilent(now: number): void {
+        for (const [instanceId, at] of this.lastHeardAt) {
+            if (now - at > rememberedMs) {
+                this.lastHeardAt.delete(instanceId);
+            }
+        }
+    }
+
+    private getState(service: string): ServiceState {
+        const known = this.services.get(service) ?? { ejections: new ejections.Ejections(), reports: new Map(), followedSince: new Map(), judgements: new Map(), decider: "", decidingSince: 0, published: "" };
+        this.services.set(service, known);
+        return known;
+    }
+}
+
+/** Chooses the instance that decides for a service: the one with the highest rendezvous score. */
+function chooseDecider(service: string, running: readonly string[]): string | undefined {
+    const scored = running.map(instanceId => ({ instanceId, score: randomness.computeRendezvousScore(`decider:${service}`, instanceId) }));
+    return scored.sort((a, b) => b.score - a.score)[0]?.instanceId;
+}
+
+/** Moves a report's ages on by the time since it came. */
+function addAge(entry: evidence.EvidenceEntry, ageMs: number): evidence.EvidenceEntry {
+    return { ...entry, okAgeMs: entry.okAgeMs + ageMs, newestOverdueMs: entry.overdue === 0 ? 0 : entry.newestOverdueMs + ageMs };
+}
--- /dev/null
+++ b/src/detection/evidence.ts
@@ -0,0 +1,163 @@
+/** What this instance has seen of each upstream in the last seconds. */
+
+import { z } from "zod";
+import type * as pool from "../pool/index.js";
+
+/** The length of the window and of its parts, in milliseconds. */
+export const windowMs = 3_000;
+const bucketMs = 250;
+/** A request is overdue at this multiple of its route's median latency, or at the service's least stall time if that is more. */
+const overdueFactor = 6;
+/** The age at which a request of a route without history is overdue, in milliseconds. */
+const overdueWithoutHistoryMs = 2_000;
+/** How much more patient an instance is with an upstream that has just joined or come back. */
+const coldStartFactor = 3;
+/** The greatest age reported, in milliseconds. */
+const maximumAgeMs = 60_000;
+
+/** What one instance reports of one upstream. */
+export const entrySchema = z.strictObject({
+    upstream: z.string(),
+    /** Attempts in the window that ended well in time. */
+    ok: z.number(),
+    /** Attempts in the window that failed or ended overdue. */
+    bad: z.number(),
+    /** Attempts under way that are overdue. */
+    overdue: z.number(),
+    /** The age of the youngest of those, in milliseconds; 0 where there is none. */
+    newestOverdueMs: z.number(),
+    /** Milliseconds since an attempt last ended well. */
+    okAgeMs: z.number(),
+});
+
+/** What one instance reports of one upstream. */
+export type EvidenceEntry = z.infer<typeof entrySchema>;
+
+interface Bucket {
+    readonly startedAt: number;
+    ok: number;
+    bad: number;
+}
+
+interface History {
+    buckets: Bucket[];
+    okAt: number;
+    badInARow: number;
+}
+
+/** Options of the evidence. */
+export interface CreateEvidenceOptions {
+    /** Returns the median latency of a route in milliseconds. */
+    readonly getMedianMs: (service: string, route: string) => number | undefined;
+    /** Returns the least age at which a service's request may count as overdue, in milliseconds. */
+    readonly getMinimumStallMs: (service: string) => number;
+}
+
+/** Collects evidence; it is told the time, in monotonic milliseconds. */
+export class Evidence {
+    private readonly histories = new WeakMap<pool.Upstream, History>();
+
+    constructor(private readonly options: CreateEvidenceOptions) {}
+
+    /**
+     * Returns the age at which an attempt is overdue, in milliseconds.
+     * @param target - The upstream.
+     * @param route - The route's name.
+     */
+    getOverdueMs(target: pool.Upstream, route: string): number {
+        const median = this.options.getMedianMs(target.service, route);
+        const usual = median === undefined ? overdueWithoutHistoryMs : median * overdueFactor;
+        const patience = target.routability.kind === "recovering" || target.routability.kind === "trial" ? coldStartFactor : 1;
+        return Math.max(this.options.getMinimumStallMs(target.service), usual) * patience;
+    }
+
+    /**
+     * Records the end of an attempt.
+     * @param target - The upstream.
+     * @param attempt - The attempt.
+     * @param outcome - How it ended.
+     * @param now - The time.
+     */
+    recordEnd(target: pool.Upstream, attempt: pool.AttemptRecord, outcome: pool.AttemptOutcome, now: number): void {
+        const ageMs = (attempt.answeredAt ?? now) - attempt.startedAt;
+        const isOverdue = ageMs >= this.getOverdueMs(target, attempt.route);
+        // Shedding is load, and a caller that leaves says nothing, unless it had waited for too long.
+        if (outcome === "shed" || (outcome === "cancelled" && !isOverdue)) {
+            return;
+        }
+        const history = this.getHistory(target);
+        const bucket = this.getBucket(history, now);
+        if (outcome === "answered" && !isOverdue) {
+            bucket.ok += 1;
+            history.okAt = now;
+            history.badInARow = 0;
+            return;
+        }
+        bucket.bad += 1;
+        history.badInARow += 1;
+    }
+
+    /**
+     * Returns how many attempts in a row have gone wrong, those under way that are overdue included.
+     * @param target - The upstream.
+     * @param now - The time.
+     */
+    getBadInARow(target: pool.Upstream, now: number): number {
+        return this.getHistory(target).badInARow + this.listOverdueAges(target, now).length;
+    }
+
+    /**
+     * Returns whether an attempt under way is overdue.
+     * @param target - The upstream.
+     * @param now - The time.
+     */
+    hasOverdue(target: pool.Upstream, now: number): boolean {
+        return this.listOverdueAges(target, now).length > 0;
+    }
+
+    /**
+     * Returns what there is to report of an upstream; undefined where nothing happened in the window.
+     * @param target - The upstream.
+     * @param now - The time.
+     */
+    getEntry(target: pool.Upstream, now: number): EvidenceEntry | undefined {
+        const history = this.getHistory(target);
+        history.buckets = history.buckets.filter(bucket => now - bucket.startedAt < windowMs);
+        const overdueAges = this.listOverdueAges(target, now);
+        const ok = history.buckets.reduce((sum, bucket) => sum + bucket.ok, 0);
+        const bad = history.buckets.reduce((sum, bucket) => sum + bucket.bad, 0);
+        if (ok + bad + overdueAges.length === 0) {
+            return undefined;
+        }
+        return {
+            upstream: target.getId(),
+            ok,
+            bad,
+            overdue: overdueAges.length,
+            newestOverdueMs: Math.round(overdueAges.length === 0 ? 0 : Math.min(...overdueAges)),
+            okAgeMs: Math.round(Math.min(maximumAgeMs, now - history.okAt)),
+        };
+    }
+
+    private listOverdueAges(target: pool.Upstream, now: number): readonly number[] {
+        return [...target.attempts]
+            .filter(attempt => attempt.answeredAt === undefined && now - attempt.startedAt >= this.getOverdueMs(target, attempt.route))
+            .map(attempt => now - attempt.startedAt);
+    }
+
+    private getHistory(target: pool.Upstream): History {
+        const known = this.histories.get(target) ?? { buckets: [], okAt: -Infinity, badInARow: 0 };
+        this.histories.set(target, known);
+        return known;
+    }
+
+    private getBucket(history: History, now: number): Bucket {
+        const newest = history.buckets.at(-1);
+        if (newest !== undefined && now - newest.startedAt < bucketMs) {
+            return newest;
+        }
+        const created = { startedAt: now, ok: 0, bad: 0 };
+        history.buckets.push(created);
+        return created;
+    }
+}
--- /dev/null
+++ b/src/detection/index.ts
@@ -0,0 +1,19 @@
+/** The plug-in that detects upstreams which fail real work. */
+
+import * as plugins from "../kernel/plugins.js";
+import * as peers from "../peers/index.js";
+import * as pool from "../pool/index.js";
+import * as detection from "./detection.js";
+
+plugins.registerPlugin({
+    name: "detection",
+    dependsOn: ["peers", "pool"],
+    create: shared => {
+        const created = new detection.Detection({
+            context: shared,
+            pool: shared.services.getService(pool.poolKey),
+            mesh: shared.services.getService(peers.meshKey),
+        });
+        return { start: async () => created.start(), getDump: () => created.getDump() };
+    },
+});
--- /dev/null
+++ b/src/detection/judge.ts
@@ -0,0 +1,157 @@
+/** Judges the upstreams of a service by the evidence of all instances. */
+
+import type * as evidence from "./evidence.js";
+
+/** The bad part of an upstream's attempts from which it is an outlier. */
+const minimumBadRatio = 0.4;
+/** Bad attempts that the ratio needs. */
+const minimumBad = 3;
+/** Overdue attempts that a stall needs. */
+const minimumOverdue = 2;
+/** How many times worse than the rest of its service an outlier is. */
+const relativeFactor = 2;
+/** Where more than this part of the active upstreams shows symptoms, the service as a whole is slow. */
+const serviceWidePart = 0.5;
+/** Attempts that a failure domain's own view needs. */
+const minimumDomainAttempts = 3;
+/** A failure domain that sees a smaller bad part than this vouches for the upstream. */
+const goodDomainRatio = 0.2;
+
+/** One instance's report. */
+export interface Report {
+    readonly instanceId: string;
+    readonly failureDomain: string;
+    readonly entries: readonly evidence.EvidenceEntry[];
+}
+
+/** What is judged. */
+export interface JudgeInput {
+    readonly reports: readonly Report[];
+    /** How many instances must have seen the symptoms: two, or one in a fleet of one. */
+    readonly requiredInstances: number;
+    /** How many failure domains must have seen the symptoms: two, or one in a fleet of one domain. */
+    readonly requiredDomains: number;
+}
+
+/** The evidence on an upstream, summed over instances. */
+export interface Summary {
+    readonly ok: number;
+    readonly bad: number;
+    readonly overdue: number;
+    readonly newestOverdueMs: number;
+    readonly okAgeMs: number;
+}
+
+/** A judgement. */
+export type Judgement =
+    | { readonly kind: "healthy"; readonly summary: Summary; }
+    /** It shows symptoms that do not suffice for an ejection. */
+    | { readonly kind: "suspect"; readonly summary: Summary; readonly reason: string; }
+    | { readonly kind: "outlier"; readonly summary: Summary; readonly reason: string; };
+
+interface Observation extends evidence.EvidenceEntry {
+    readonly instanceId: string;
+    readonly failureDomain: string;
+}
+
+/**
+ * Judges every upstream that the reports mention.
+ * @param input - The reports of all instances on one service.
+ */
+export function createJudgements(input: JudgeInput): ReadonlyMap<string, Judgement> {
+    const observations = new Map<string, Observation[]>();
+    for (const { instanceId, failureDomain, entries } of input.reports) {
+        for (const entry of entries) {
+            const known = observations.get(entry.upstream) ?? [];
+            known.push({ ...entry, instanceId, failureDomain });
+            observations.set(entry.upstream, known);
+        }
+    }
+    const summaries = new Map([...observations].map(([upstream, seen]) => [upstream, createSummary(seen)]));
+    const symptomatic = [...summaries.values()].filter(hasSymptoms).length;
+    const isServiceWide = symptomatic > summaries.size * serviceWidePart && summaries.size > 1;
+    return new Map([...summaries].map(([upstream, summary]): [string, Judgement] => {
+        if (!hasSymptoms(summary)) {
+            return [upstream, { kind: "healthy", summary }];
+        }
+        const doubt = getDoubt(upstream, summary, observations.get(upstream)!, summaries, isServiceWide, input);
+        return doubt === undefined
+            ? [upstream, { kind: "outlier", summary, reason: formatSymptoms(summary) }]
+            : [upstream, { kind: "suspect", summary, reason: `${formatSymptoms(summary)}; ${doubt}` }];
+    }));
+}
+
+function createSummary(seen: readonly Observation[]): Summary {
+    const overdueAges = seen.filter(entry => entry.overdue > 0).map(entry => entry.newestOverdueMs);
+    return {
+        ok: seen.reduce((sum, entry) => sum + entry.ok, 0),
+        bad: seen.reduce((sum, entry) => sum + entry.bad, 0),
+        overdue: seen.reduce((sum, entry) => sum + entry.overdue, 0),
+        newestOverdueMs: overdueAges.length === 0 ? 0 : Math.min(...overdueAges),
+        okAgeMs: Math.min(...seen.map(entry => entry.okAgeMs)),
+    };
+}
+
+/** Returns whether nothing has ended well since the youngest overdue request was sent. */
+function isStalled(summary: Summary): boolean {
+    return summary.overdue >= minimumOverdue && summary.okAgeMs >= summary.newestOverdueMs;
+}
+
+function getBadRatio({ ok, bad, overdue }: Pick<Summary, "ok" | "bad" | "overdue">): number {
+    const total = ok + bad + overdue;
+    return total === 0 ? 0 : (bad + overdue) / total;
+}
+
+function isFailing(summary: Summary): boolean {
+    return summary.bad + summary.overdue >= minimumBad && getBadRatio(summary) >= minimumBadRatio;
+}
+
+function hasSymptoms(summary: Summary): boolean {
+    return isStalled(summary) || isFailing(summary);
+}
+
+function formatSymptoms(summary: Summary): string {
+    const kind = isStalled(summary) ? "stalled" : "failing";
+    return `${kind}: ${summary.overdue} overdue, ${summary.bad} bad, ${summary.ok} ok`;
+}
+
+/** Returns why symptoms do not make an outlier; undefined where they do. */
+function getDoubt(upstream: string, summary: Summary, seen: readonly Observation[], summaries: ReadonlyMap<string, Summary>, isServiceWide: boolean, input: JudgeInput): string | undefined {
+    if (isServiceWide) {
+        return "most of the service shows the same";
+    }
+    const witnesses = seen.filter(entry => entry.bad + entry.overdue > 0);
+    if (new Set(witnesses.map(entry => entry.instanceId)).size < input.requiredInstances) {
+        return "seen by too few instances";
+    }
+    const domains = new Set(witnesses.map(entry => entry.failureDomain));
+    if (domains.size < input.requiredDomains) {
+        return `seen from the failure domain ${[...domains].join(", ")} only`;
+    }
+    const vouching = findVouchingDomain(seen, isStalled(summary));
+    if (vouching !== undefined) {
+        return `the failure domain ${vouching} sees it well`;
+    }
+    const others = [...summaries].filter(([id]) => id !== upstream).map(([, other]) => other);
+    const rest = {
+        ok: others.reduce((sum, other) => sum + other.ok, 0),
+        bad: others.reduce((sum, other) => sum + other.bad, 0),
+        overdue: others.reduce((sum, other) => sum + other.overdue, 0),
+    };
+    if (!isStalled(summary) && getBadRatio(rest) * relativeFactor > getBadRatio(summary)) {
+        return "the rest of the service is nearly as bad";
+    }
+    return undefined;
+}
+
+/** Finds a failure domain in which the upstream does well; a stall is judged by the last success, which no domain has. */
+function findVouchingDomain(seen: readonly Observation[], stalled: boolean): string | undefined {
+    if (stalled) {
+        return undefined;
+    }
+    const domains = [...new Set(seen.map(entry => entry.failureDomain))];
+    return domains.find(domain => {
+        const own = createSummary(seen.filter(entry => entry.failureDomain === domain));
+        return own.ok + own.bad + own.overdue >= minimumDomainAttempts && getBadRatio(own) < goodDomainRatio;
+    });
+}
--- /dev/null
+++ b/src/kernel/errors.ts
@@ -0,0 +1,112 @@
+/** The closed list of error kinds, and the one table from a kind to the answers that callers and operators see. */
+
+import { Code } from "@connectrpc/connect";
+
+/** Whether a request has run at an upstream, as told to its caller. */
+export type Outcome = "executed" | "not-executed" | "unknown";
+
+/** What a caller or operator may do after an error. */
+export type RetryAdvice = "no" | "later" | "otherInstance" | "sameKey";
+
+/** The answer to one kind of error. */
+export interface ErrorAnswer {
+    /** The HTTP status that a caller sees. */
+    readonly status: number;
+    /** The RPC code that an operator sees. */
+    readonly code: Code;
+    /** What a caller is told about the request's execution. */
+    readonly outcome: Outcome;
+    /** What helps. */
+    readonly retry: RetryAdvice;
+    /** When the kind arises, in one sentence. */
+    readonly meaning: string;
+}
+
+function createAnswer(status: number, code: Code, outcome: Outcome, retry: RetryAdvice, meaning: string): ErrorAnswer {
+    return { status, code, outcome, retry, meaning };
+}
+
+/** The table from error kind to answer. */
+export const answers = {
+    badRequest: createAnswer(400, Code.InvalidArgument, "not-executed", "no", "A header, parameter or field of the request is invalid."),
+    routeNotFound: createAnswer(404, Code.NotFound, "not-executed", "no", "No route matches the method and path."),
+    featureRetired: createAnswer(410, Code.FailedPrecondition, "not-executed", "no", "The request's feature is retired."),
+    bodyTooLarge: createAnswer(413, Code.InvalidArgument, "not-executed", "no", "The request body is larger than the limit."),
+    notConfigured: createAnswer(503, Code.Unavailable, "not-executed", "otherInstance", "The instance has no configuration yet."),
+    configurationStale: createAnswer(503, Code.Unavailable, "not-executed", "otherInstance", "The instance hears neither the store nor half of its peers, so a newer configuration may be in force."),
+    draining: createAnswer(503, Code.Unavailable, "not-executed", "otherInstance", "The instance is stopping and takes no new requests."),
+    overloaded: createAnswer(503, Code.ResourceExhausted, "not-executed", "later", "The queue of the request's rank is full."),
+    deadlineBeforeSend: createAnswer(504, Code.DeadlineExceeded, "not-executed", "later", "The deadline passed, or could not be met, before the request was sent."),
+    upstreamUnavailable: createAnswer(503, Code.Unavailable, "not-executed", "later", "No upstream could be reached, and none was sent the request."),
+    deadlineAfterSend: createAnswer(504, Code.DeadlineExceeded, "unknown", "sameKey", "The deadline passed after the request was sent to an upstream."),
+    answerLost: createAnswer(502, Code.Unavailable, "unknown", "sameKey", "The request was sent to an upstream, and its answer was lost, broken or a gateway error."),
+    callerGone: createAnswer(499, Code.Canceled, "not-executed", "no", "The caller left before the request was sent."),
+    orderKeyMissing: createAnswer(400, Code.InvalidArgument, "not-executed", "no", "The route needs an order key and the request has none."),
+    orderKeyInvalid: createAnswer(400, Code.InvalidArgument, "not-executed", "no", "The order key is malformed, or its prefix was not issued by the instance it names."),
+    orderKeyReused: createAnswer(422, Code.InvalidArgument, "unknown", "no", "The order key was used before for a different request."),
+    orderKeyExpired: createAnswer(409, Code.FailedPrecondition, "unknown", "no", "The order key has expired and its outcome is no longer kept."),
+    refusedRepeat: createAnswer(409, Code.FailedPrecondition, "unknown", "no", "The request was refused, and an earlier one with the same order key may have run."),
+    orderOwnerUnreachable: createAnswer(503, Code.Unavailable, "unknown", "sameKey", "The instance that owns the order key cannot be reached from here."),
+    orderAnswerNotKept: createAnswer(409, Code.FailedPrecondition, "executed", "no", "The order ran, and its answer was too large to keep for a repeat."),
+    orderLedgerFull: createAnswer(503, Code.ResourceExhausted, "unknown", "sameKey", "The instance holds as many order keys as it may; this request was not sent, but a repeat of it may run later."),
+    storeUnavailable: createAnswer(503, Code.Unavailable, "unknown", "later", "The platform's store did not answer; this request was not sent, but an earlier one with the same key may have run."),
+    changeUnresolved: createAnswer(504, Code.Unknown, "unknown", "sameKey", "The store may or may not have taken the change; repeating it with the same change identifier is safe."),
+    configurationInvalid: createAnswer(400, Code.InvalidArgument, "not-executed", "no", "The configuration document is invalid."),
+    configurationConflict: createAnswer(409, Code.Aborted, "not-executed", "no", "Another change was accepted first."),
+    instanceUnknown: createAnswer(404, Code.NotFound, "not-executed", "no", "No such instance is known."),
+    upstreamUnknown: createAnswer(404, Code.NotFound, "not-executed", "no", "No such upstream is configured."),
+    unauthorized: createAnswer(401, Code.Unauthenticated, "not-executed", "no", "The shared secret is missing or wrong."),
+    settingInvalid: createAnswer(400, Code.InvalidArgument, "not-executed", "no", "A setting is invalid; the process exits with status 2."),
+    peerUnreachable: createAnswer(503, Code.Unavailable, "unknown", "later", "A peer did not answer in time, or no link to it is open."),
+    frameInvalid: createAnswer(400, Code.InvalidArgument, "not-executed", "no", "A peer sent a malformed, oversized or unexpected frame; the link is closed."),
+    internal: createAnswer(500, Code.Internal, "unknown", "no", "A fault of the program."),
+} as const satisfies Record<string, ErrorAnswer>;
+
+/** The closed list of error kinds. */
+export type ErrorKind = keyof typeof answers;
+
+/** An error of any part of the program. */
+export interface FleetError {
+    /** The kind, a key of `answers`. */
+    readonly kind: ErrorKind;
+    /** The fact and its values, for a person. */
+    readonly message: string;
+    /** The configuration version that a conflicting change lost to. */
+    readonly version?: number;
+}
+
+/**
+ * Creates an error.
+ * @param kind - The kind.
+ * @param message - The fact and its values; the table's meaning where omitted.
+ */
+export function createError(kind: ErrorKind, message?: string): FleetError {
+    return { kind, message: message ?? answers[kind].meaning };
+}
+
+/**
+ * Creates the error of a change that lost to another.
+ * @param version - The version it lost to.
+ */
+export function createConflict(version: number): FleetError {
+    return { kind: "configurationConflict", message: `another change was accepted first, as version ${version}; get it, merge and apply again`, version };
+}
+
+/**
+ * Returns the answer to an error.
+ * @param error - The error.
+ */
+export function getAnswer(error: FleetError): ErrorAnswer {
+    return answers[error.kind];
+}
+
+/**
+ * Reads the text of whatever was thrown.
+ * @param thrown - The thrown value.
+ */
+export function getThrownMessage(thrown: unknown): string {
+    if (!(thrown instanceof Error)) {
+        return String(thrown);
+    }
+    return "code" in thrown && thrown.message === "" ? String(thrown.code) : thrown.message;
+}
--- /dev/null
+++ b/src/kernel/index.ts
@@ -0,0 +1,11 @@
+/** The kernel: clock, loop, plug-ins, lifecycle and errors. */
+
+export * as clock from "./clock.js";
+export type { Context, Identity } from "./context.js";
+export * as errors from "./errors.js";
+export { Kernel, type Lifecycle, lifecycleKey, type LifecycleState } from "./kernel.js";
+export * as logger from "./logger.js";
+export * as loop from "./loop.js";
+export * as plugins from "./plugins.js";
+export * as randomness from "./randomness.js";
+export * as services from "./services.js";
--- /dev/null
+++ b/src/kernel/kernel.ts
@@ -0,0 +1,132 @@
+/** Starts, drains and stops the plug-ins of one process. */
+
+import * as promClient from "prom-client";
+import type * as settings from "../settings/index.js";
+import * as clock from "./clock.js";
+import type * as context from "./context.js";
+import * as events from "./events.js";
+import * as logger from "./logger.js";
+import * as loop from "./loop.js";
+import * as plugins from "./plugins.js";
+import * as randomness from "./randomness.js";
+import * as services from "./services.js";
+
+/** Where the process is in its life. */
+export type LifecycleState = "starting" | "running" | "draining" | "stopped";
+
+/** What plug-ins may ask of the process's lifecycle. */
+export interface Lifecycle {
+    /** Returns the current state. */
+    readonly getState: () => LifecycleState;
+    /** Begins the graceful shutdown; repeats join the first. */
+    readonly drain: () => Promise<void>;
+    /** Returns the state of every plug-in. */
+    readonly getDump: () => Readonly<Record<string, unknown>>;
+}
+
+/** The key of the lifecycle service. */
+export const lifecycleKey = services.createKey<Lifecycle>("lifecycle");
+
+/** The kernel of one process. */
+export class Kernel implements Lifecycle {
+    /** What plug-ins are given. */
+    readonly context: context.Context;
+    private readonly instances: { readonly name: string; readonly instance: plugins.PluginInstance; }[] = [];
+    private state: LifecycleState = "starting";
+    private draining?: Promise<void>;
+    private readonly stopListeners: (() => void)[] = [];
+
+    constructor(options: settings.ServeSettings) {
+        this.context = createContext(options);
+        this.context.services.setService(lifecycleKey, {
+            getState: () => this.getState(),
+            drain: () => this.drain(),
+            getDump: () => this.getDump(),
+        });
+    }
+
+    /** Creates and starts every registered plug-in, in the order of their dependencies. */
+    async start(): Promise<void> {
+        const { identity, logger: log } = this.context;
+        for (const plugin of plugins.listPlugins()) {
+            this.instances.push({ name: plugin.name, instance: plugin.create(this.context) });
+        }
+        for (const { instance } of this.instances) {
+            await instance.start?.();
+        }
+        this.state = "running";
+        log.writeInfo("instance-started", `instance ${identity.instanceId} runs`, { version: process.version });
+    }
+
+    /** Returns the current state. */
+    getState(): LifecycleState {
+        return this.state;
+    }
+
+    /** Drains every plug-in, the outermost first, then stops them all. */
+    drain(): Promise<void> {
+        this.draining ??= this.drainAndStop();
+        return this.draining;
+    }
+
+    /**
+     * Calls back when the graceful shutdown is complete.
+     * @param listener - The callback.
+     */
+    addStopListener(listener: () => void): void {
+        this.stopListeners.push(listener);
+    }
+
+    /** Returns the state of every plug-in. */
+    getDump(): Readonly<Record<string, unknown>> {
+        const parts = this.instances.map(({ name, instance }) => [name, instance.getDump?.()] as const);
+        const { identity, clock: time } = this.context;
+        return {
+            instance: { ...identity, state: this.state, wallTimeMs: time.getWallTime(), rssBytes: process.memoryUsage.rss() },
+            ...Object.fromEntries(parts.filter(([, part]) => part !== undefined)),
+        };
+    }
+
+    private async drainAndStop(): Promise<void> {
+        this.state = "draining";
+        this.context.logger.writeInfo("instance-draining", "the graceful shutdown began");
+        const outermostFirst = [...this.instances].reverse();
+        for (const { instance } of outermostFirst) {
+            await instance.drain?.();
+        }
+        this.context.loop.stop();
+        for (const { instance } of outermostFirst) {
+            await instance.stop?.();
+        }
+        this.state = "stopped";
+        this.context.logger.writeInfo("instance-stopped", "the graceful shutdown is complete");
+        this.stopListeners.forEach(listener => listener());
+    }
+}
+
+function createContext(options: settings.ServeSettings): context.Context {
+    const time = clock.createSystemClock();
+    const random = randomness.createSystemRandomness();
+    const identity = {
+        instanceId: options.instanceId === "" ? `i-${random.getIdentifier(6)}` : options.instanceId,
+        incarnation: time.getWallTime(),
+        failureDomain: options.failureDomain,
+    };
+    const eventLog = new events.EventLog();
+    const log = logger.createLogger({
+        level: options.logLevel,
+        values: { instance: identity.instanceId, failureDomain: identity.failureDomain },
+        onRecord: record => eventLog.addRecord(record, time.getWallTime()),
+    });
+    return {
+        settings: options,
+        identity,
+        clock: time,
+        randomness: random,
+        logger: log,
+        loop: new loop.Loop(() => log),
+        metrics: new promClient.Registry(),
+        services: new services.Services(),
+        events: eventLog,
+    };
+}
--- /dev/null
+++ b/src/operators/index.ts
@@ -0,0 +1,30 @@
+/** The plug-in that serves operators. */
+
+import * as promClient from "prom-client";
+import * as callers from "../callers/index.js";
+import * as configuration from "../configuration/index.js";
+import * as kernel from "../kernel/kernel.js";
+import * as plugins from "../kernel/plugins.js";
+import * as peers from "../peers/index.js";
+import * as pool from "../pool/index.js";
+import * as operatorServer from "./operatorServer.js";
+import * as operatorService from "./operatorService.js";
+
+plugins.registerPlugin({
+    name: "operators",
+    dependsOn: ["callers", "configuration", "peers", "pool"],
+    create: shared => {
+        promClient.collectDefaultMetrics({ register: shared.metrics, prefix: "agatebend_" });
+        const options = {
+            context: shared,
+            configuration: shared.services.getService(configuration.configurationKey),
+            mesh: shared.services.getService(peers.meshKey),
+            pool: shared.services.getService(pool.poolKey),
+            handler: shared.services.getService(callers.handlerKey),
+            lifecycle: shared.services.getService(kernel.lifecycleKey),
+            secret: peers.readSharedSecret(shared.settings),
+        };
+        const server = new operatorServer.OperatorServer({ ...options, service: new operatorService.OperatorService(options) });
+        return { start: () => server.start(), stop: () => server.stop() };
+    },
+});
--- /dev/null
+++ b/src/orders/forward.ts
@@ -0,0 +1,98 @@
+/** Forwards an order to the instance that owns its key. */
+
+import * as http from "node:http";
+import { z } from "zod";
+import type * as context from "../kernel/context.js";
+import * as errors from "../kernel/errors.js";
+import * as requests from "../requests/index.js";
+import * as settings from "../settings/index.js";
+import type * as ledger from "./ledger.js";
+
+/** What the connection to the owner may take, in milliseconds. */
+const connectTimeoutMs = 1_000;
+/** How long beyond the deadline the owner's answer is waited for, in milliseconds. */
+const graceMs = 500;
+
+const errorBodySchema = z.object({ message: z.string() });
+
+/** Options of a forwarding. */
+export interface ForwardOrderOptions {
+    readonly context: context.Context;
+    readonly request: requests.FleetRequest;
+    readonly key: string;
+    /** The owner's address for callers. */
+    readonly address: string;
+}
+
+/**
+ * Forwards an order and returns the owner's answer.
+ * @param options - The order and its owner.
+ * @remarks Whatever fails, the outcome is unknown: the key may have been run at the owner before.
+ */
+export function forwardOrder(options: ForwardOrderOptions): Promise<ledger.KeptOutcome> {
+    const { context: shared, request, address } = options;
+    const { loop, clock, settings: values } = shared;
+    const remainingMs = request.deadlineAt - clock.getNow();
+    return new Promise(resolve => {
+        const reject = (reason: string) => resolve({ kind: "error", attempts: 0, error: errors.createError("orderOwnerUnreachable", `the order key's owner at ${address}: ${reason}`) });
+        const sent = http.request({ ...settings.parseAddress(address), method: request.method, path: request.path, agent: false, headers: createHeaders(options, remainingMs) });
+        const cancelDeadline = loop.scheduleOnce(remainingMs + graceMs, () => sent.destroy(new Error("no answer within the deadline")));
+        const cancelConnect = loop.scheduleOnce(connectTimeoutMs, () => sent.destroy(new Error(`no connection within ${connectTimeoutMs} ms`)));
+        sent.on("socket", socket => socket.once("connect", cancelConnect));
+        sent.on("error", error => reject(errors.getThrownMessage(error)));
+        sent.on("close", () => {
+            cancelDeadline();
+            cancelConnect();
+        });
+        sent.on("response", response => {
+            void requests.readAnswer({ context: shared, response, maximumBytes: values.requestBodyBytes }).then(read => {
+                if (read.isErr()) {
+                    reject(`its answer is ${read.error}`);
+                    return;
+                }
+                resolve(createOutcome(read.value));
+            });
+        });
+        sent.end(request.body);
+    });
+}
+
+function createHeaders({ context: shared, request, key }: ForwardOrderOptions, remainingMs: number): string[] {
+    const { fleetHeaders } = requests;
+    const set = [fleetHeaders.workspace, fleetHeaders.feature, fleetHeaders.deadline, fleetHeaders.orderKey, fleetHeaders.forwardedBy] as string[];
+    return [
+        ...requests.listEndToEndHeaders(request.rawHeaders, ["content-length", ...set]),
+        "Content-Length",
+        String(request.body.length),
+        "Connection",
+        "close",
+        ...(request.workspace === "" ? [] : [fleetHeaders.workspace, request.workspace]),
+        ...(request.feature === undefined ? [] : [fleetHeaders.feature, request.feature]),
+        fleetHeaders.deadline,
+        String(Math.max(1, Math.floor(remainingMs))),
+        fleetHeaders.orderKey,
+        key,
+        fleetHeaders.forwardedBy,
+        shared.identity.instanceId,
+    ];
+}
+
+/** Reads the owner's word on the outcome; without one it is unknown. */
+function createOutcome(answer: requests.HeldAnswer): ledger.KeptOutcome {
+    const [errorKind] = requests.getValues(answer.rawHeaders, requests.fleetHeaders.error);
+    if (errorKind !== undefined && Object.hasOwn(errors.answers, errorKind)) {
+        return { kind: "error", error: errors.createError(errorKind as errors.ErrorKind, readMessage(answer.body)), attempts: 0 };
+    }
+    const [outcome] = requests.getValues(answer.rawHeaders, requests.fleetHeaders.outcome);
+    const known = outcome === "executed" || outcome === "not-executed" ? outcome : "unknown";
+    return { kind: "answer", outcome: known, answer, attempts: 0 };
+}
+
+function readMessage(body: Buffer): string | undefined {
+    try {
+        return errorBodySchema.parse(JSON.parse(body.toString())).message;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/orders/orders.ts
@@ -0,0 +1,206 @@
+/** Runs orders at most once: decides who owns a key, and joins or replays repeats. */
+
+import * as crypto from "node:crypto";
+import * as promClient from "prom-client";
+import { match } from "ts-pattern";
+import type * as context from "../kernel/context.js";
+import * as errors from "../kernel/errors.js";
+import * as services from "../kernel/services.js";
+import type * as peers from "../peers/index.js";
+import * as requests from "../requests/index.js";
+import * as claims from "./claims.js";
+import * as forward from "./forward.js";
+import * as ledger from "./ledger.js";
+import * as orderKey from "./orderKey.js";
+
+/** Milliseconds between two removals of expired keys. */
+const removeIntervalMs = 5_000;
+/** How long a finished key is kept beyond its expiry, in milliseconds. */
+const keepBeyondMs = 60_000;
+
+/** An order prefix and how long it may be used. */
+export interface IssuedPrefix {
+    readonly prefix: string;
+    readonly validMs: number;
+}
+
+/** Options of the order service. */
+export interface CreateOrdersOptions {
+    readonly context: context.Context;
+    readonly executor: requests.ExecutorContext;
+    readonly mesh: peers.Mesh;
+    readonly claims: claims.Claims;
+}
+
+/** Runs orders. */
+export class Orders {
+    private readonly ledger: ledger.Ledger;
+    private readonly secret: string;
+    private readonly startedAt: number;
+    private readonly outcomes: promClient.Counter<"handling" | "outcome">;
+
+    constructor(private readonly options: CreateOrdersOptions) {
+        const { settings, clock, randomness, metrics } = options.context;
+        this.ledger = new ledger.Ledger({ maximumKeys: settings.orderKeysKept, maximumBytes: settings.orderBytesKept, maximumAnswerBytes: settings.orderAnswerBytes });
+        this.secret = randomness.getIdentifier(16);
+        this.startedAt = clock.getNow();
+        this.outcomes = new promClient.Counter({ name: "agatebend_orders_total", help: "Orders by handling and outcome.", labelNames: ["handling", "outcome"], registers: [metrics] });
+    }
+
+    /** Begins to forget expired keys. */
+    start(): void {
+        const { loop, clock } = this.options.context;
+        loop.scheduleRepeatedly(removeIntervalMs, () => this.ledger.removeExpired(clock.getNow() - keepBeyondMs));
+    }
+
+    /** Issues a prefix bound to this incarnation. */
+    createPrefix(): IssuedPrefix {
+        const { settings, identity, clock } = this.options.context;
+        const expiresAtMs = clock.getNow() - this.startedAt + settings.orderPrefixTtlMs;
+        const fields = { owner: identity.instanceId, incarnation: identity.incarnation, expiresAtMs };
+        return { prefix: orderKey.createPrefix(fields, this.secret), validMs: settings.orderPrefixTtlMs };
+    }
+
+    /**
+     * Runs an order, or tells the outcome of its first run.
+     * @param request - The request.
+     * @param keyText - The order key; undefined where the caller sent none.
+     * @param forwardedBy - The instance that forwarded the request here, if one did.
+     */
+    async runOrder(request: requests.FleetRequest, keyText: string | undefined, forwardedBy: string | undefined): Promise<ledger.KeptOutcome> {
+        if (keyText === undefined) {
+            return request.route.orderKey === "required" ? createFailure(errors.createError("orderKeyMissing")) : this.runWithoutKey(request);
+        }
+        const parsed = orderKey.parseOrderKey(keyText);
+        if (parsed.isErr()) {
+            return createFailure(parsed.error);
+        }
+        return match(parsed.value)
+            .with({ kind: "issued" }, key => this.runIssued(request, key, forwardedBy))
+            .with({ kind: "caller" }, key => this.runCallerMade(request, key, forwardedBy))
+            .exhaustive();
+    }
+
+    /**
+     * Settles a request that is refused before its order begins.
+     * @param keyText - The order key.
+     * @param error - The refusal.
+     * @returns The first outcome where the key has one; the refusal where the key is this instance's and new, which then
+     * stays refused; otherwise an error that leaves the outcome unknown, for an earlier request with the key may have run.
+     */
+    async resolveRefusal(keyText: string, error: errors.FleetError): Promise<ledger.KeptOutcome> {
+        const { identity, clock } = this.options.context;
+        const parsed = orderKey.parseOrderKey(keyText);
+        if (parsed.isErr()) {
+            return createFailure(parsed.error);
+        }
+        const key = parsed.value;
+        const isOwn = key.kind === "issued" && key.owner === identity.instanceId && key.incarnation === identity.incarnation && orderKey.isIssuedWith(key, this.secret);
+        if (!isOwn) {
+            return createFailure(errors.createError("refusedRepeat", `the request was refused: ${error.message}; an earlier one with the same key may have run`));
+        }
+        const beginning = this.ledger.admitKey(key.text, undefined, this.startedAt + key.expiresAtMs, clock.getNow());
+        return match(beginning)
+            .with({ kind: "run" }, () => {
+                this.ledger.finishKey(key.text, createFailure(error));
+                return createFailure(error);
+            })
+            .with({ kind: "join" }, ({ outcome }) => outcome)
+            .with({ kind: "replay" }, ({ outcome }) => outcome)
+            .with({ kind: "refuse" }, () => createFailure(errors.createError("refusedRepeat", `the request was refused: ${error.message}; the key was used before`)))
+            .exhaustive();
+    }
+
+    /** Returns the number of orders under way. */
+    countRunning(): number {
+        return this.ledger.countRunning();
+    }
+
+    /** Returns the ledger's state for the dump. */
+    getDump(): unknown {
+        return this.ledger.getDump();
+    }
+
+    private async runWithoutKey(request: requests.FleetRequest): Promise<ledger.KeptOutcome> {
+        const outcome = await requests.runOnce(this.options.executor, request);
+        this.countOutcome("ran", outcome);
+        return outcome;
+    }
+
+    private async runIssued(request: requests.FleetRequest, key: orderKey.IssuedKey, forwardedBy: string | undefined): Promise<ledger.KeptOutcome> {
+        const { identity } = this.options.context;
+        if (key.owner !== identity.instanceId || key.incarnation !== identity.incarnation) {
+            return this.forwardToOwner(request, key.text, { owner: key.owner, incarnation: key.incarnation }, forwardedBy);
+        }
+        if (!orderKey.isIssuedWith(key, this.secret)) {
+            return createFailure(errors.createError("orderKeyInvalid"));
+        }
+        return this.runOwned(request, key.text, this.startedAt + key.expiresAtMs);
+    }
+
+    private async runCallerMade(request: requests.FleetRequest, key: orderKey.CallerKey, forwardedBy: string | undefined): Promise<ledger.KeptOutcome> {
+        if (this.ledger.hasKey(key.text)) {
+            return this.runOwned(request, key.text, Infinity);
+        }
+        const claimed = await this.options.claims.claimKey(key.text);
+        if (claimed.isErr()) {
+            return createFailure(claimed.error);
+        }
+        return match(claimed.value)
+            .with({ kind: "claimed" }, ({ expiresAt }) => this.runOwned(request, key.text, expiresAt))
+            .with({ kind: "owned" }, ({ claim }) => this.forwardToOwner(request, key.text, claim, forwardedBy))
+            .exhaustive();
+    }
+
+    private async runOwned(request: requests.FleetRequest, key: string, expiresAt: number): Promise<ledger.KeptOutcome> {
+        const { clock } = this.options.context;
+        const beginning = this.ledger.admitKey(key, computeFingerprint(request), expiresAt, clock.getNow());
+        return match(beginning)
+            .with({ kind: "run" }, async () => {
+                // The order goes on without its caller, so that a repeat can be told its outcome.
+                const kept = { ...request, signal: new AbortController().signal, deadlineAt: Math.min(request.deadlineAt, expiresAt) };
+                const outcome = await requests.runOnce(this.options.executor, kept);
+                this.ledger.finishKey(key, outcome);
+                this.countOutcome("ran", outcome);
+                return outcome;
+            })
+            .with({ kind: "join" }, ({ outcome }) => {
+                this.outcomes.inc({ handling: "joined", outcome: "none" });
+                return outcome;
+            })
+            .with({ kind: "replay" }, ({ outcome }) => {
+                this.countOutcome("replayed", outcome);
+                return outcome;
+            })
+            .with({ kind: "refuse" }, ({ error }) => createFailure(error))
+            .exhaustive();
+    }
+
+    /** Another incarnation owns the key; only that one may run it, and only it knows what became of it. */
+    private async forwardToOwner(request: requests.FleetRequest, key: string, claim: Pick<claims.Claim, "owner" | "incarnation">, forwardedBy: string | undefined): Promise<ledger.KeptOutcome> {
+        const { context: shared, mesh } = this.options;
+        const owner = mesh.getMember(claim.owner);
+        if (owner === undefined || owner.incarnation !== claim.incarnation || forwardedBy !== undefined) {
+            return createFailure(errors.createError("orderOwnerUnreachable", `the order key belongs to ${claim.owner}, which is not reached from ${shared.identity.instanceId}`));
+        }
+        const outcome = await forward.forwardOrder({ context: shared, request, key, address: owner.callerAddress });
+        this.countOutcome("forwarded", outcome);
+        return outcome;
+    }
+
+    private countOutcome(handling: "ran" | "replayed" | "forwarded", kept: ledger.KeptOutcome): void {
+        const outcome = kept.kind === "answer" ? kept.outcome : errors.getAnswer(kept.error).outcome;
+        this.outcomes.inc({ handling, outcome });
+    }
+}
+
+function createFailure(error: errors.FleetError): ledger.KeptOutcome {
+    return { kind: "error", error, attempts: 0 };
+}
+
+function computeFingerprint(request: requests.FleetRequest): string {
+    return crypto.createHash("sha256").update(`${request.method} ${request.path}\0${request.workspace}\0`).update(request.body).digest("base64");
+}
+
+/** The key of the order service. */
+export const ordersKey = services.createKey<Orders>("orders");
--- /dev/null
+++ b/src/peers/dialer.ts
@@ -0,0 +1,194 @@
+/** Opens, accepts and keeps the links to peers. */
+
+import type * as net from "node:net";
+import type * as context from "../kernel/context.js";
+import * as errors from "../kernel/errors.js";
+import * as randomness from "../kernel/randomness.js";
+import * as settings from "../settings/index.js";
+import * as link from "./link.js";
+import * as transport from "./transport.js";
+
+/** Milliseconds between two looks at which links are missing. */
+const dialIntervalMs = 500;
+/** Looks that the instance with the greater identifier leaves to the other before it dials too. */
+const patientLooks = 2;
+/** Longest wait between two attempts to reach one address, in looks. */
+const maximumBackoffLooks = 8;
+
+/** A peer to keep a link to. */
+export interface DialTarget {
+    readonly instanceId: string;
+    readonly address: string;
+}
+
+/** Options of a dialer. */
+export interface CreateDialerOptions {
+    readonly context: context.Context;
+    readonly events: link.LinkEvents;
+    readonly listTargets: () => readonly DialTarget[];
+    readonly countBytes: (direction: "sent" | "received", bytes: number) => void;
+}
+
+interface Attempt {
+    isUnderway: boolean;
+    failures: number;
+    looksLeft: number;
+}
+
+/** Keeps one link to each chosen peer. */
+export class Dialer {
+    private readonly links = new Map<string, link.PeerLink>();
+    private readonly sockets = new Set<net.Socket>();
+    private readonly attempts = new Map<string, Attempt>();
+    private readonly missedLooks = new Map<string, number>();
+    private readonly ownAddresses = new Set<string>();
+    private readonly seedPeers = new Map<string, string>();
+    private readonly tlsFiles: transport.TlsFiles | undefined;
+    private readonly secret: string;
+    private server?: net.Server;
+
+    constructor(private readonly options: CreateDialerOptions) {
+        this.tlsFiles = transport.readTlsFiles(options.context.settings);
+        this.secret = transport.readSharedSecret(options.context.settings);
+    }
+
+    /** Opens the peer port; returns the address that peers are told. */
+    async start(): Promise<string> {
+        const { settings: values, loop } = this.options.context;
+        const server = transport.createPeerServer(this.tlsFiles, socket => this.addLink(socket, undefined).start());
+        this.server = server;
+        const { host, port } = settings.parseAddress(values.peerListen);
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(port, host, resolve);
+        });
+        server.on("error", error => this.options.context.logger.writeWarning("peer-port-error", errors.getThrownMessage(error)));
+        const address = settings.getAdvertisedAddress(values.peerAdvertise, values.peerListen, (server.address() as net.AddressInfo).port);
+        this.ownAddresses.add(address);
+        this.runLook();
+        loop.scheduleRepeatedly(dialIntervalMs, () => this.runLook());
+        return address;
+    }
+
+    /** Closes the port and every link. */
+    async stop(): Promise<void> {
+        this.server?.close();
+        [...this.links.values()].forEach(open => open.close("the instance stops"));
+        this.sockets.forEach(socket => socket.destroy());
+    }
+
+    /**
+     * Returns the open link to a peer.
+     * @param peerId - The peer.
+     */
+    getLink(peerId: string): link.PeerLink | undefined {
+        const known = this.links.get(peerId);
+        return known?.isOpen() === true ? known : undefined;
+    }
+
+    /** Lists the peers that a link is open to. */
+    listPeers(): readonly string[] {
+        return [...this.links].filter(([, known]) => known.isOpen()).map(([peerId]) => peerId);
+    }
+
+    private runLook(): void {
+        const { settings: values, identity } = this.options.context;
+        for (const open of this.links.values()) {
+            if (open.getSilenceMs() > values.suspectAfterMs) {
+                open.close("the peer is silent on this link");
+            }
+        }
+        for (const target of this.listChosenTargets()) {
+            if (this.getLink(target.instanceId) !== undefined) {
+                this.missedLooks.delete(target.instanceId);
+                continue;
+            }
+            const missed = (this.missedLooks.get(target.instanceId) ?? 0) + 1;
+            this.missedLooks.set(target.instanceId, missed);
+            if (identity.instanceId < target.instanceId || missed > patientLooks) {
+                this.openAddress(target.address, target.instanceId);
+            }
+        }
+        values.seeds
+            .filter(seed => !this.ownAddresses.has(seed) && this.getLink(this.seedPeers.get(seed) ?? "") === undefined)
+            .forEach(seed => this.openAddress(seed, undefined));
+    }
+
+    /** Chooses the peers to link to: all of them, or where there are too many, those with the highest rendezvous scores. */
+    private listChosenTargets(): readonly DialTarget[] {
+        const { settings: values, identity } = this.options.context;
+        const targets = this.options.listTargets();
+        if (targets.length <= values.maximumPeerLinks) {
+            return targets;
+        }
+        const scored = targets.map(target => ({ target, score: randomness.computeRendezvousScore(identity.instanceId, target.instanceId) }));
+        return scored.sort((a, b) => b.score - a.score).slice(0, values.maximumPeerLinks).map(({ target }) => target);
+    }
+
+    private openAddress(address: string, expectedPeer: string | undefined): void {
+        const attempt = this.attempts.get(address) ?? { isUnderway: false, failures: 0, looksLeft: 0 };
+        this.attempts.set(address, attempt);
+        if (attempt.isUnderway) {
+            return;
+        }
+        if (attempt.looksLeft > 0) {
+            attempt.looksLeft -= 1;
+            return;
+        }
+        attempt.isUnderway = true;
+        const { settings: values, loop } = this.options.context;
+        const socket = transport.openPeerSocket(this.tlsFiles, settings.parseAddress(address), () => dialed.start());
+        const dialed = this.addLink(socket, expectedPeer === undefined ? address : undefined);
+        const cancelTimer = loop.scheduleOnce(values.peerTimeoutMs, () => dialed.isOpen() ? undefined : dialed.close(`no handshake with ${address} within ${values.peerTimeoutMs} ms`));
+        socket.once("close", () => {
+            cancelTimer();
+            attempt.isUnderway = false;
+            attempt.failures = dialed.getPeer() === undefined ? attempt.failures + 1 : 0;
+            attempt.looksLeft = Math.min(maximumBackoffLooks, attempt.failures);
+        });
+    }
+
+    private addLink(socket: net.Socket, seed: string | undefined): link.PeerLink {
+        this.sockets.add(socket);
+        socket.once("close", () => this.sockets.delete(socket));
+        const { context: shared, countBytes, events } = this.options;
+        return new link.PeerLink({
+            socket,
+            context: shared,
+            secret: this.secret,
+            countBytes,
+            events: {
+                onOpen: opened => this.receiveOpen(opened, seed),
+                onMessage: events.onMessage,
+                onClose: closed => {
+                    const peerId = closed.getPeer()?.instanceId ?? "";
+                    if (this.links.get(peerId) === closed) {
+                        this.links.delete(peerId);
+                    }
+                    events.onClose(closed);
+                },
+            },
+        });
+    }
+
+    private receiveOpen(opened: link.PeerLink, seed: string | undefined): void {
+        const peer = opened.getPeer()!;
+        const { identity } = this.options.context;
+        if (peer.instanceId === identity.instanceId) {
+            if (seed !== undefined) {
+                this.ownAddresses.add(seed);
+            }
+            opened.close("this address is the instance's own");
+            return;
+        }
+        if (seed !== undefined) {
+            this.seedPeers.set(seed, peer.instanceId);
+        }
+        const before = this.getLink(peer.instanceId);
+        this.links.set(peer.instanceId, opened);
+        this.options.events.onOpen(opened);
+        if (before !== undefined && identity.instanceId < peer.instanceId) {
+            before.close("a newer link to the same peer is open");
+        }
+    }
+}
--- /dev/null
+++ b/src/peers/frameReader.ts
@@ -0,0 +1,49 @@
+/** Splits a byte stream into length-prefixed frames. */
+
+import { err, ok, type Result } from "neverthrow";
+import * as errors from "../kernel/errors.js";
+import * as wire from "./wire.js";
+
+/** Collects bytes until a frame is whole. */
+export class FrameReader {
+    private chunks: Buffer[] = [];
+    private buffered = 0;
+
+    /** @param maximumBytes - The largest body accepted. */
+    constructor(private readonly maximumBytes: number) {}
+
+    /**
+     * Adds bytes and returns the bodies of the frames that are now whole.
+     * @param chunk - Bytes as they arrived.
+     */
+    readFrames(chunk: Buffer): Result<readonly Buffer[], errors.FleetError> {
+        this.chunks.push(chunk);
+        this.buffered += chunk.length;
+        const bodies: Buffer[] = [];
+        while (this.buffered >= wire.lengthBytes) {
+            const joined = this.mergeChunks();
+            const length = joined.readUInt32BE(0);
+            if (length > this.maximumBytes) {
+                return err(errors.createError("frameInvalid", `a frame announces ${length} bytes; ${this.maximumBytes} are allowed`));
+            }
+            const end = wire.lengthBytes + length;
+            if (this.buffered < end) {
+                break;
+            }
+            bodies.push(joined.subarray(wire.lengthBytes, end));
+            this.chunks = [joined.subarray(end)];
+            this.buffered -= end;
+        }
+        return ok(bodies);
+    }
+
+    private mergeChunks(): Buffer {
+        const [first] = this.chunks;
+        if (this.chunks.length === 1 && first !== undefined) {
+            return first;
+        }
+        const joined = Buffer.concat(this.chunks);
+        this.chunks = [joined];
+        return joined;
+    }
+}
--- /dev/null
+++ b/src/peers/index.ts
@@ -0,0 +1,22 @@
+/** The plug-in that links the fleet's instances. */
+
+import * as plugins from "../kernel/plugins.js";
+import * as mesh from "./mesh.js";
+
+export type { Member, MemberState } from "./members.js";
+export { Mesh, meshKey } from "./mesh.js";
+export { readSharedSecret, readTlsFiles } from "./transport.js";
+
+plugins.registerPlugin({
+    name: "peers",
+    dependsOn: [],
+    create: shared => {
+        const created = new mesh.Mesh(shared);
+        shared.services.setService(mesh.meshKey, created);
+        return {
+            start: () => created.start(),
+            stop: () => created.stop(),
+            getDump: () => created.getDump(),
+        };
+    },
+});
--- /dev/null
+++ b/src/peers/link.ts
@@ -0,0 +1,189 @@
+/** One authenticated connection to a peer. */
+
+import * as crypto from "node:crypto";
+import type * as net from "node:net";
+import { match } from "ts-pattern";
+import type * as context from "../kernel/context.js";
+import * as errors from "../kernel/errors.js";
+import * as frameReader from "./frameReader.js";
+import * as wire from "./wire.js";
+
+/** How many frames' worth of unsent bytes a link may hold before gossip is dropped. */
+const sendBufferFrames = 2;
+
+/** Who is at the other end. */
+export interface PeerIdentity {
+    readonly instanceId: string;
+    readonly incarnation: number;
+    readonly failureDomain: string;
+}
+
+/** What a link reports to its owner. */
+export interface LinkEvents {
+    /** Called once the peer has proved that it belongs to the fleet. */
+    readonly onOpen: (link: PeerLink) => void;
+    readonly onMessage: (link: PeerLink, message: wire.Message) => void;
+    readonly onClose: (link: PeerLink) => void;
+}
+
+/** Options of a link. */
+export interface CreatePeerLinkOptions {
+    readonly socket: net.Socket;
+    readonly context: context.Context;
+    readonly secret: string;
+    readonly events: LinkEvents;
+    readonly countBytes: (direction: "sent" | "received", bytes: number) => void;
+}
+
+type Handshake =
+    | { readonly kind: "awaitingHello"; }
+    | { readonly kind: "awaitingProof"; readonly peer: PeerIdentity; }
+    | { readonly kind: "open"; readonly peer: PeerIdentity; }
+    | { readonly kind: "closed"; readonly peer?: PeerIdentity; };
+
+/** Sends and receives messages; an invalid frame closes this link and nothing else. */
+export class PeerLink {
+    private readonly reader: frameReader.FrameReader;
+    private readonly nonce: string;
+    private handshake: Handshake = { kind: "awaitingHello" };
+    private receivedAt: number;
+
+    constructor(private readonly options: CreatePeerLinkOptions) {
+        const { socket, context: shared } = options;
+        this.reader = new frameReader.FrameReader(shared.settings.frameBytes);
+        this.nonce = shared.randomness.getIdentifier(16);
+        this.receivedAt = shared.clock.getNow();
+        socket.setNoDelay(true);
+        socket.on("data", (chunk: Buffer) => this.receiveChunk(chunk));
+        socket.on("error", error => this.close(errors.getThrownMessage(error)));
+        socket.on("close", () => this.close("the connection closed"));
+    }
+
+    /** Sends the hello; the link opens when the peer's hello and proof have come. */
+    start(): void {
+        const { settings, identity } = this.options.context;
+        this.writeMessage({
+            type: "hello",
+            version: wire.protocolVersion,
+            fleet: settings.fleet,
+            instanceId: identity.instanceId,
+            incarnation: identity.incarnation,
+            failureDomain: identity.failureDomain,
+            nonce: this.nonce,
+        });
+    }
+
+    /** Returns the peer, once it has said hello. */
+    getPeer(): PeerIdentity | undefined {
+        return this.handshake.kind === "awaitingHello" ? undefined : this.handshake.peer;
+    }
+
+    /** Returns whether messages can be sent. */
+    isOpen(): boolean {
+        return this.handshake.kind === "open";
+    }
+
+    /** Returns milliseconds since the peer last sent anything. */
+    getSilenceMs(): number {
+        return this.options.context.clock.getNow() - this.receivedAt;
+    }
+
+    /**
+     * Sends a message; returns false where the link is closed or its buffer is full.
+     * @param message - The message.
+     */
+    sendMessage(message: wire.Message): boolean {
+        const limit = this.options.context.settings.frameBytes * sendBufferFrames;
+        if (!this.isOpen() || this.options.socket.writableLength > limit) {
+            return false;
+        }
+        this.writeMessage(message);
+        return true;
+    }
+
+    /**
+     * Closes the link.
+     * @param reason - The cause, for the log.
+     */
+    close(reason: string): void {
+        if (this.handshake.kind === "closed") {
+            return;
+        }
+        const peer = this.getPeer();
+        this.handshake = { kind: "closed", peer };
+        this.options.socket.destroy();
+        this.options.context.logger.writeDebug("peer-link-closed", "a peer link closed", { peer: peer?.instanceId, reason });
+        this.options.events.onClose(this);
+    }
+
+    private writeMessage(message: wire.Message): void {
+        const frame = wire.encodeFrame(message);
+        this.options.countBytes("sent", frame.length);
+        this.options.socket.write(frame);
+    }
+
+    private receiveChunk(chunk: Buffer): void {
+        this.receivedAt = this.options.context.clock.getNow();
+        this.options.countBytes("received", chunk.length);
+        this.reader.readFrames(chunk)
+            .andThen(bodies => {
+                for (const body of bodies) {
+                    const handled = wire.decodeMessage(body).map(message => this.receiveMessage(message));
+                    if (handled.isErr()) {
+                        return handled;
+                    }
+                }
+                return this.reader.readFrames(Buffer.alloc(0));
+            })
+            .mapErr(error => this.rejectPeer(error.message));
+    }
+
+    private receiveMessage(message: wire.Message): void {
+        match(this.handshake)
+            .with({ kind: "awaitingHello" }, () => this.receiveHello(message))
+            .with({ kind: "awaitingProof" }, ({ peer }) => this.receiveProof(message, peer))
+            .with({ kind: "open" }, () => this.options.events.onMessage(this, message))
+            .with({ kind: "closed" }, () => {})
+            .exhaustive();
+    }
+
+    private receiveHello(message: wire.Message): void {
+        const { settings, identity } = this.options.context;
+        if (message.type !== "hello") {
+            return this.rejectPeer(`the first message is ${message.type}, not hello`);
+        }
+        if (message.version !== wire.protocolVersion) {
+            return this.rejectPeer(`the peer speaks version ${message.version}; ${wire.protocolVersion} is spoken here`);
+        }
+        if (message.fleet !== settings.fleet) {
+            return this.rejectPeer(`the peer belongs to the fleet ${message.fleet}; this is ${settings.fleet}`);
+        }
+        const { instanceId, incarnation, failureDomain } = message;
+        this.handshake = { kind: "awaitingProof", peer: { instanceId, incarnation, failureDomain } };
+        this.writeMessage({ type: "proof", mac: this.computeProof(message.nonce, identity.instanceId) });
+    }
+
+    private receiveProof(message: wire.Message, peer: PeerIdentity): void {
+        if (message.type !== "proof") {
+            return this.rejectPeer(`the second message is ${message.type}, not proof`);
+        }
+        const expected = Buffer.from(this.computeProof(this.nonce, peer.instanceId));
+        const received = Buffer.from(message.mac);
+        if (expected.length !== received.length || !crypto.timingSafeEqual(expected, received)) {
+            return this.rejectPeer("the peer does not know the shared secret");
+        }
+        this.handshake = { kind: "open", peer };
+        this.options.events.onOpen(this);
+    }
+
+    /** Computes the proof of the shared secret over the other side's nonce and the prover's identifier. */
+    private computeProof(nonce: string, proverId: string): string {
+        return crypto.createHmac("sha256", this.options.secret).update(`${nonce}:${proverId}`).digest("hex");
+    }
+
+    private rejectPeer(reason: string): void {
+        const { remoteAddress, remotePort } = this.options.socket;
+        this.options.context.logger.writeWarning("peer-rejected", `a peer link was closed: ${reason}`, { remote: `${remoteAddress}:${remotePort}`, peer: this.getPeer()?.instanceId });
+        this.close(reason);
+    }
+}
--- /dev/null
+++ b/src/peers/mesh.ts
@@ -0,0 +1,284 @@
+/** The mesh of links between instances: published registers, requests and liveness. */
+
+import { err, ok, type Result } from "neverthrow";
+import * as promClient from "prom-client";
+import { match } from "ts-pattern";
+import type * as context from "../kernel/context.js";
+import * as errors from "../kernel/errors.js";
+import * as services from "../kernel/services.js";
+import * as dialer from "./dialer.js";
+import type * as link from "./link.js";
+import * as members from "./members.js";
+import * as pendingRequests from "./pendingRequests.js";
+import * as registers from "./registers.js";
+import type * as wire from "./wire.js";
+
+/** Rounds of anti-entropy between two direct heartbeats to every link. */
+const roundsPerHeartbeat = 2;
+
+/** The topic of the registers that describe members. */
+const memberTopic = "member";
+
+/** Answers a peer's request. */
+export type RequestHandler = (body: unknown, peerId: string) => Promise<Result<unknown, errors.FleetError>>;
+
+/** Called when another instance's value of a topic has changed. */
+export type RegisterListener = (origin: string, body: unknown) => void;
+
+/** What other plug-ins use of the mesh. */
+export class Mesh {
+    private readonly table: registers.RegisterTable;
+    private readonly pending: pendingRequests.PendingRequests;
+    private readonly listeners = new Map<string, RegisterListener[]>();
+    private readonly handlers = new Map<string, RequestHandler>();
+    private readonly noticeHandlers = new Map<string, RegisterListener>();
+    private readonly dialer: dialer.Dialer;
+    private readonly bytes: promClient.Counter;
+    private member: members.MemberDescription;
+    private round = 0;
+
+    constructor(private readonly shared: context.Context) {
+        const { settings, identity, metrics } = shared;
+        this.table = new registers.RegisterTable({ selfId: identity.instanceId, incarnation: identity.incarnation, deadAfterMs: settings.deadAfterMs });
+        this.pending = new pendingRequests.PendingRequests(shared.loop, settings.peerTimeoutMs);
+        this.bytes = new promClient.Counter({ name: "agatebend_peer_bytes_total", help: "Bytes on links to peers.", labelNames: ["direction"], registers: [metrics] });
+        this.member = { failureDomain: identity.failureDomain, callerAddress: "", peerAddress: "", operatorAddress: "", state: "starting", configurationVersion: 0 };
+        this.dialer = new dialer.Dialer({
+            context: shared,
+            countBytes: (direction, bytes) => this.bytes.inc({ direction }, bytes),
+            listTargets: () => this.listDialTargets(),
+            events: {
+                onOpen: opened => this.receiveOpen(opened),
+                onMessage: (from, message) => this.receiveMessage(from, message),
+                onClose: closed => this.receiveClose(closed),
+            },
+        });
+        const gauge: promClient.Gauge<"state"> = new promClient.Gauge({
+            name: "agatebend_members",
+            help: "Known instances by state, this one included.",
+            labelNames: ["state"],
+            registers: [metrics],
+            collect: () => {
+                gauge.reset();
+                this.listMembers().forEach(known => gauge.inc({ state: known.state }));
+            },
+        });
+    }
+
+    /** Opens the peer port and begins to gossip. */
+    async start(): Promise<void> {
+        const peerAddress = await this.dialer.start();
+        this.setMember({ peerAddress });
+        this.shared.loop.scheduleRepeatedly(this.shared.settings.gossipIntervalMs, () => this.runRound());
+    }
+
+    /** Closes the peer port and every link. */
+    stop(): Promise<void> {
+        return this.dialer.stop();
+    }
+
+    /**
+     * Changes this instance's own description and tells the peers.
+     * @param change - The fields that change.
+     */
+    setMember(change: Partial<members.MemberDescription>): void {
+        this.member = { ...this.member, ...change };
+        this.setRegister(memberTopic, this.member);
+    }
+
+    /** Lists the known members, this instance first. */
+    listMembers(): readonly members.Member[] {
+        const now = this.shared.clock.getNow();
+        return this.table.listOrigins().flatMap(origin => {
+            const description = members.parseDescription(this.table.getBody(origin, memberTopic));
+            if (description === undefined) {
+                return [];
+            }
+            const silenceMs = this.table.getSilenceMs(origin, now);
+            return [members.createMember(origin, this.table.getIncarnation(origin)!, description, silenceMs, this.shared.settings.suspectAfterMs)];
+        });
+    }
+
+    /**
+     * Returns a member.
+     * @param instanceId - Its identifier.
+     */
+    getMember(instanceId: string): members.Member | undefined {
+        return this.listMembers().find(known => known.instanceId === instanceId);
+    }
+
+    /**
+     * Publishes this instance's value of a topic to every peer.
+     * @param topic - The topic.
+     * @param body - Plain data, a few kilobytes at most.
+     */
+    setRegister(topic: string, body: unknown): void {
+        const register = this.table.setOwn(topic, body);
+        this.sendToAll({ type: "registers", registers: [register] });
+    }
+
+    /**
+     * Returns the values of a topic by origin, this instance's own included.
+     * @param topic - The topic.
+     */
+    getRegisters(topic: string): ReadonlyMap<string, unknown> {
+        const pairs = this.table.listOrigins().map(origin => [origin, this.table.getBody(origin, topic)] as const);
+        return new Map(pairs.filter(([, body]) => body !== undefined));
+    }
+
+    /**
+     * Returns milliseconds since an instance was last heard, directly or through others.
+     * @param instanceId - The instance.
+     */
+    getSilenceMs(instanceId: string): number {
+        return this.table.getSilenceMs(instanceId, this.shared.clock.getNow());
+    }
+
+    /**
+     * Calls back when another instance's value of a topic changes.
+     * @param topic - The topic.
+     * @param listener - The callback.
+     */
+    addListener(topic: string, listener: RegisterListener): void {
+        this.listeners.set(topic, [...this.listeners.get(topic) ?? [], listener]);
+    }
+
+    /**
+     * Answers the peers' requests of a topic.
+     * @param topic - The topic.
+     * @param handler - The answer's source.
+     */
+    setHandler(topic: string, handler: RequestHandler): void {
+        this.handlers.set(topic, handler);
+    }
+
+    /**
+     * Receives the peers' notices of a topic.
+     * @param topic - The topic.
+     * @param handler - Called with the sender and the body.
+     */
+    setNoticeHandler(topic: string, handler: RegisterListener): void {
+        this.noticeHandlers.set(topic, handler);
+    }
+
+    /**
+     * Sends plain data to a linked peer without an answer; it may be lost.
+     * @param peerId - The peer.
+     * @param topic - The topic.
+     * @param body - Plain data.
+     */
+    sendNotice(peerId: string, topic: string, body: unknown): boolean {
+        return this.dialer.getLink(peerId)?.sendMessage({ type: "notice", topic, body }) ?? false;
+    }
+
+    /** Lists the peers that a link is open to. */
+    listLinkedPeers(): readonly string[] {
+        return this.dialer.listPeers();
+    }
+
+    /**
+     * Sends a request to a linked peer and waits for its answer.
+     * @param peerId - The peer.
+     * @param topic - The topic, which names the handler there.
+     * @param body - Plain data.
+     */
+    async sendRequest(peerId: string, topic: string, body: unknown): Promise<Result<unknown, errors.FleetError>> {
+        const open = this.dialer.getLink(peerId);
+        if (open === undefined) {
+            return err(errors.createError("peerUnreachable", `no link to ${peerId} is open`));
+        }
+        return this.pending.addRequest(peerId, id => open.sendMessage({ type: "request", id, topic, body }));
+    }
+
+    /** Returns the mesh's state for the dump. */
+    getDump(): unknown {
+        return {
+            members: this.listMembers().map(known => ({ ...known, isLinked: this.dialer.getLink(known.instanceId) !== undefined })),
+            links: this.dialer.listPeers(),
+        };
+    }
+
+    private listDialTargets(): readonly dialer.DialTarget[] {
+        const self = this.shared.identity.instanceId;
+        return this.listMembers()
+            .filter(known => known.instanceId !== self && known.peerAddress !== "")
+            .map(known => ({ instanceId: known.instanceId, address: known.peerAddress }));
+    }
+
+    private runRound(): void {
+        const now = this.shared.clock.getNow();
+        const heartbeat = this.table.addHeartbeat(now);
+        this.round += 1;
+        if (this.round % roundsPerHeartbeat === 0) {
+            this.sendToAll({ type: "heartbeat", incarnation: this.shared.identity.incarnation, heartbeat });
+        }
+        const peers = this.dialer.listPeers();
+        const chosen = peers[Math.floor(this.shared.randomness.getFraction() * peers.length)];
+        if (chosen !== undefined) {
+            this.dialer.getLink(chosen)?.sendMessage({ type: "digest", entries: [...this.table.getDigest()], isReply: false });
+        }
+        for (const dead of this.table.removeDead(now)) {
+            this.shared.logger.writeInfo("member-forgotten", `instance ${dead} has been silent for too long and is forgotten`, { member: dead });
+        }
+    }
+
+    private sendToAll(message: wire.Message): void {
+        this.dialer.listPeers().forEach(peerId => this.dialer.getLink(peerId)?.sendMessage(message));
+    }
+
+    private receiveOpen(opened: link.PeerLink): void {
+        opened.sendMessage({ type: "digest", entries: [...this.table.getDigest()], isReply: false });
+        this.shared.logger.writeInfo("peer-linked", `a link to ${opened.getPeer()?.instanceId} is open`, { peer: opened.getPeer()?.instanceId });
+    }
+
+    private receiveClose(closed: link.PeerLink): void {
+        const peer = closed.getPeer();
+        if (peer !== undefined && this.dialer.getLink(peer.instanceId) === undefined) {
+            this.pending.rejectPeer(peer.instanceId);
+        }
+    }
+
+    private receiveMessage(from: link.PeerLink, message: wire.Message): void {
+        const peer = from.getPeer()!;
+        const now = this.shared.clock.getNow();
+        match(message)
+            .with({ type: "heartbeat" }, ({ incarnation, heartbeat }) => this.table.recordHeartbeat(peer.instanceId, incarnation, heartbeat, now))
+            .with({ type: "registers" }, ({ registers: received }) => received.forEach(register => this.mergeRegister(register, now)))
+            .with({ type: "digest" }, ({ entries, isReply }) => this.receiveDigest(from, entries, isReply, now))
+            .with({ type: "notice" }, ({ topic, body }) => this.noticeHandlers.get(topic)?.(peer.instanceId, body))
+            .with({ type: "request" }, ({ id, topic, body }) => void this.answerRequest(from, id, topic, body))
+            .with({ type: "reply" }, ({ id, body }) => this.pending.resolveRequest(id, peer.instanceId, ok(body)))
+            .with({ type: "refusal" }, ({ id, message: reason }) => this.pending.resolveRequest(id, peer.instanceId, err(errors.createError("peerUnreachable", reason))))
+            .with({ type: "hello" }, { type: "proof" }, () => from.close("a handshake message came after the handshake"))
+            .exhaustive();
+    }
+
+    private receiveDigest(from: link.PeerLink, entries: readonly wire.DigestEntry[], isReply: boolean, now: number): void {
+        const { missingThere, isBehind } = this.table.mergeDigest(entries, now);
+        if (missingThere.length > 0) {
+            from.sendMessage({ type: "registers", registers: [...missingThere] });
+        }
+        if (isBehind && !isReply) {
+            from.sendMessage({ type: "digest", entries: [...this.table.getDigest()], isReply: true });
+        }
+    }
+
+    private mergeRegister(register: wire.Register, now: number): void {
+        if (this.table.mergeRegister(register, now)) {
+            this.listeners.get(register.topic)?.forEach(listener => listener(register.origin, register.body));
+        }
+    }
+
+    private async answerRequest(from: link.PeerLink, id: number, topic: string, body: unknown): Promise<void> {
+        const handler = this.handlers.get(topic);
+        if (handler === undefined) {
+            from.sendMessage({ type: "refusal", id, message: `no handler for the topic ${topic}` });
+            return;
+        }
+        const answer = await handler(body, from.getPeer()!.instanceId);
+        from.sendMessage(answer.isOk() ? { type: "reply", id, body: answer.value } : { type: "refusal", id, message: answer.error.message });
+    }
+}
+
+/** The key of the mesh service. */
+export const meshKey = services.createKey<Mesh>("mesh");
--- /dev/null
+++ b/src/peers/wire.ts
@@ -0,0 +1,97 @@
+/** The messages between peers; a link carries them as length-prefixed CBOR frames. */
+
+import { Decoder, Encoder } from "cbor-x";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import * as errors from "../kernel/errors.js";
+
+/** The version of this protocol; peers of another version are rejected at the hello. */
+export const protocolVersion = 1;
+
+const identifier = z.string().min(1).max(128);
+const counter = z.number().int().nonnegative();
+
+const registerSchema = z.strictObject({
+    topic: identifier,
+    origin: identifier,
+    incarnation: counter,
+    sequence: counter,
+    body: z.unknown(),
+});
+
+const digestEntrySchema = z.strictObject({
+    origin: identifier,
+    incarnation: counter,
+    heartbeat: counter,
+    /** The sequence of each topic that the origin has published. */
+    sequences: z.record(identifier, counter),
+});
+
+/** A peer's message; the first on a link is a hello, the second a proof. */
+export const messageSchema = z.discriminatedUnion("type", [
+    z.strictObject({
+        type: z.literal("hello"),
+        version: z.number(),
+        fleet: identifier,
+        instanceId: identifier,
+        incarnation: counter,
+        failureDomain: identifier,
+        /** Random; the other side's proof is computed over it. */
+        nonce: z.string().min(16).max(128),
+    }),
+    z.strictObject({ type: z.literal("proof"), mac: z.string().max(128) }),
+    z.strictObject({ type: z.literal("heartbeat"), incarnation: counter, heartbeat: counter }),
+    z.strictObject({ type: z.literal("registers"), registers: z.array(registerSchema) }),
+    z.strictObject({ type: z.literal("digest"), entries: z.array(digestEntrySchema), isReply: z.boolean() }),
+    z.strictObject({ type: z.literal("notice"), topic: identifier, body: z.unknown() }),
+    z.strictObject({ type: z.literal("request"), id: counter, topic: identifier, body: z.unknown() }),
+    z.strictObject({ type: z.literal("reply"), id: counter, body: z.unknown() }),
+    z.strictObject({ type: z.literal("refusal"), id: counter, message: z.string() }),
+]);
+
+/** A peer's message. */
+export type Message = z.infer<typeof messageSchema>;
+
+/** One value that an instance has published. */
+export type Register = z.infer<typeof registerSchema>;
+
+/** What a peer holds of one origin. */
+export type DigestEntry = z.infer<typeof digestEntrySchema>;
+
+/** The bytes of the length that precedes each frame: an unsigned big-endian integer. */
+export const lengthBytes = 4;
+
+const encoder = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false });
+const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
+
+/**
+ * Encodes a message as one frame.
+ * @param message - The message.
+ */
+export function encodeFrame(message: Message): Buffer {
+    const body = encoder.encode(message);
+    const frame = Buffer.allocUnsafe(lengthBytes + body.length);
+    frame.writeUInt32BE(body.length, 0);
+    body.copy(frame, lengthBytes);
+    return frame;
+}
+
+/**
+ * Decodes the body of a frame.
+ * @param body - The bytes after the length.
+ */
+export function decodeMessage(body: Buffer): Result<Message, errors.FleetError> {
+    let raw: unknown;
+    try {
+        raw = decoder.decode(body);
+    }
+    catch (thrown) {
+        return err(errors.createError("frameInvalid", `a frame of ${body.length} bytes is not CBOR: ${errors.getThrownMessage(thrown)}`));
+    }
+    const parsed = messageSchema.safeParse(raw);
+    if (!parsed.success) {
+        const issue = parsed.error.issues[0];
+        return err(errors.createError("frameInvalid", `a message is malformed at ${issue?.path.join(".") || "its root"}: ${issue?.message}`));
+    }
+    return ok(parsed.data);
+}
--- /dev/null
+++ b/src/plugins.ts
@@ -0,0 +1,12 @@
+/** Imports every plug-in, which registers it. */
+
+import "./admission/index.js";
+import "./callers/index.js";
+import "./configuration/index.js";
+import "./detection/index.js";
+import "./operators/index.js";
+import "./orders/index.js";
+import "./peers/index.js";
+import "./pool/index.js";
+import "./requests/index.js";
+import "./store/index.js";
--- /dev/null
+++ b/src/pool/index.ts
@@ -0,0 +1,26 @@
+/** The plug-in that holds the upstreams of every service. */
+
+import * as configuration from "../configuration/index.js";
+import * as plugins from "../kernel/plugins.js";
+import * as leavingMarks from "./leavingMarks.js";
+import * as peers from "../peers/index.js";
+import * as pool from "./pool.js";
+
+export { chooseUpstream, type ChooseUpstreamOptions } from "./chooseUpstream.js";
+export { LeavingMarks, leavingMarksKey } from "./leavingMarks.js";
+export { type AttemptObserver, Pool, poolKey, type ServicePool } from "./pool.js";
+export type { AttemptOutcome, AttemptRecord, Routability, UpstreamKey } from "./types.js";
+export { Upstream } from "./upstream.js";
+
+plugins.registerPlugin({
+    name: "pool",
+    dependsOn: ["configuration", "peers"],
+    create: shared => {
+        const created = new pool.Pool(shared);
+        const marks = new leavingMarks.LeavingMarks({ context: shared, pool: created, mesh: shared.services.getService(peers.meshKey) });
+        shared.services.setService(pool.poolKey, created);
+        shared.services.setService(leavingMarks.leavingMarksKey, marks);
+        shared.services.getService(configuration.configurationKey).addListener(({ document }) => created.setDocument(document));
+        return { start: async () => marks.start(), getDump: () => created.getDump() };
+    },
+});
--- /dev/null
+++ b/src/pool/leavingMarks.ts
@@ -0,0 +1,90 @@
+/** Marks of upstreams that have said they are leaving, shared between instances. */
+
+import { z } from "zod";
+import type * as context from "../kernel/context.js";
+import * as services from "../kernel/services.js";
+import type * as peers from "../peers/index.js";
+import type * as pool from "./pool.js";
+import type * as upstream from "./upstream.js";
+
+/** How long a mark holds without being renewed, in milliseconds; the platform's list catches up meanwhile. */
+const markMs = 60_000;
+const sweepIntervalMs = 1_000;
+const topic = "leaving";
+
+const bodySchema = z.strictObject({
+    marks: z.array(z.strictObject({ service: z.string(), upstream: z.string(), address: z.string(), remainingMs: z.number().min(0).max(markMs) })).max(10_000),
+});
+
+/** Options of the marks. */
+export interface CreateLeavingMarksOptions {
+    readonly context: context.Context;
+    readonly pool: pool.Pool;
+    readonly mesh: peers.Mesh;
+}
+
+interface Mark {
+    readonly target: upstream.Upstream;
+    readonly until: number;
+}
+
+/** Holds and spreads the marks. */
+export class LeavingMarks {
+    private readonly own = new Map<string, Mark>();
+
+    constructor(private readonly options: CreateLeavingMarksOptions) {
+        options.mesh.addListener(topic, (_, body) => this.mergeBody(body));
+    }
+
+    /** Begins to forget marks whose time is over. */
+    start(): void {
+        this.options.context.loop.scheduleRepeatedly(sweepIntervalMs, () => this.removeExpired());
+    }
+
+    /**
+     * Marks an upstream that announced on an answer that it leaves.
+     * @param target - The upstream.
+     */
+    addMark(target: upstream.Upstream): void {
+        const now = this.options.context.clock.getNow();
+        const wasLeaving = target.isLeaving(now);
+        target.setLeaving(now + markMs);
+        this.own.set(`${target.service}/${target.getId()}`, { target, until: now + markMs });
+        if (!wasLeaving) {
+            this.options.context.logger.writeInfo("upstream-leaving", `${target.service}/${target.getId()} announced that it leaves`, { service: target.service, upstream: target.getId() });
+            this.publishMarks(now);
+        }
+    }
+
+    private removeExpired(): void {
+        const now = this.options.context.clock.getNow();
+        const expired = [...this.own].filter(([, mark]) => mark.until <= now);
+        expired.forEach(([key]) => this.own.delete(key));
+        if (expired.length > 0) {
+            this.publishMarks(now);
+        }
+    }
+
+    private publishMarks(now: number): void {
+        const marks = [...this.own.values()].map(({ target, until }) => ({
+            service: target.service,
+            upstream: target.getId(),
+            address: target.getAddress(),
+            remainingMs: Math.max(0, until - now),
+        }));
+        this.options.mesh.setRegister(topic, { marks });
+    }
+
+    private mergeBody(body: unknown): void {
+        const now = this.options.context.clock.getNow();
+        for (const mark of bodySchema.safeParse(body).data?.marks ?? []) {
+            const target = this.options.pool.getUpstream(mark);
+            if (target !== undefined && target.getAddress() === mark.address) {
+                target.setLeaving(now + mark.remainingMs);
+            }
+        }
+    }
+}
+
+/** The key of the leaving marks. */
+export const leavingMarksKey = services.createKey<LeavingMarks>("leavingMarks");
--- /dev/null
+++ b/src/requests/attempt.ts
@@ -0,0 +1,141 @@
+/** One attempt of a request at one upstream. */
+
+import * as http from "node:http";
+import type * as net from "node:net";
+import type * as admission from "../admission/index.js";
+import type * as configuration from "../configuration/index.js";
+import type * as context from "../kernel/context.js";
+import * as errors from "../kernel/errors.js";
+import * as settings from "../settings/index.js";
+import * as headers from "./headers.js";
+import type * as types from "./types.js";
+
+/** The result of an attempt, up to the answer's header. */
+export type AttemptResult =
+    | { readonly kind: "answered"; readonly response: http.IncomingMessage; }
+    /** The upstream says that it has not run the request. */
+    | { readonly kind: "shed"; }
+    /** No connection was made, so nothing was sent. */
+    | { readonly kind: "unreachable"; readonly reason: string; }
+    /** Something was sent, and no answer came. */
+    | { readonly kind: "lost"; readonly reason: string; }
+    | { readonly kind: "timedOut"; }
+    | { readonly kind: "cancelled"; readonly wasSent: boolean; };
+
+/** Options of an attempt. */
+export interface SendAttemptOptions {
+    readonly context: context.Context;
+    readonly slot: admission.Slot;
+    readonly service: configuration.ServiceDefinition;
+    readonly request: types.FleetRequest;
+    /** Keeps connections for later attempts; undefined opens one for this attempt alone. */
+    readonly agent: http.Agent | undefined;
+    readonly signal: AbortSignal;
+    /** Headers that this attempt adds, as name and value in turn. */
+    readonly extraHeaders?: readonly string[];
+    /** Called when the upstream announces on its answer that it leaves. */
+    readonly onDraining: () => void;
+    /** Called repeatedly while there is no answer; returns the milliseconds until the next call, or that the attempt is over. */
+    readonly getPatience: (ageMs: number) => number | "over";
+}
+
+/**
+ * Sends a request and waits for the answer's header.
+ * @param options - The request and where it goes.
+ * @remarks The connection of an attempt that is given up is destroyed, so that a late answer reaches nobody.
+ */
+export function sendAttempt(options: SendAttemptOptions): Promise<AttemptResult> {
+    const { slot, service, signal } = options;
+    return new Promise(resolve => {
+        const progress = { wasSent: false };
+        const sent = createRequest(options, progress);
+        const finish = (result: AttemptResult, destroys: boolean) => {
+            stopWaiting();
+            signal.removeEventListener("abort", onAbort);
+            if (destroys) {
+                sent.destroy();
+            }
+            resolve(result);
+        };
+        const onAbort = () => finish({ kind: "cancelled", wasSent: progress.wasSent }, true);
+        const stopWaiting = startWaiting(options, () => finish({ kind: "timedOut" }, true));
+        signal.addEventListener("abort", onAbort, { once: true });
+        sent.on("error", error => {
+            const reason = errors.getThrownMessage(error);
+            finish(progress.wasSent ? { kind: "lost", reason } : { kind: "unreachable", reason }, true);
+        });
+        sent.on("close", () => finish({ kind: "lost", reason: "the connection closed" }, false));
+        sent.on("response", response => {
+            if (response.headers[service.drainingHeader] !== undefined) {
+                options.onDraining();
+            }
+            if (isShed(response, service)) {
+                response.on("error", () => {});
+                response.resume();
+                finish({ kind: "shed" }, false);
+                return;
+            }
+            slot.attempt.answeredAt = options.context.clock.getNow();
+            finish({ kind: "answered", response }, false);
+        });
+        sent.end(options.request.body.length > 0 ? options.request.body : undefined);
+    });
+}
+
+/** Returns whether an answer proves that the request was not run. */
+function isShed(response: http.IncomingMessage, service: configuration.ServiceDefinition): boolean {
+    return response.statusCode === service.shed.status && response.headers[service.shed.header] !== undefined;
+}
+
+function createRequest(options: SendAttemptOptions, progress: { wasSent: boolean; }): http.ClientRequest {
+    const { slot, request, service, context: shared } = options;
+    const { host, port } = settings.parseAddress(slot.upstream.getAddress());
+    const remainingMs = Math.max(1, Math.floor(request.deadlineAt - shared.clock.getNow()));
+    const sent = http.request({
+        host,
+        port,
+        method: request.method,
+        path: request.path,
+        agent: options.agent ?? false,
+        headers: [
+            ...headers.listEndToEndHeaders(request.rawHeaders, ["content-length", service.deadlineHeader]),
+            ...createBodyHeaders(request),
+            service.deadlineHeader,
+            String(remainingMs),
+            ...options.extraHeaders ?? [],
+            "Connection",
+            options.agent === undefined ? "close" : "keep-alive",
+        ],
+    });
+    sent.on("socket", (socket: net.Socket) => {
+        if (!socket.connecting) {
+            progress.wasSent = true;
+            return;
+        }
+        socket.once("connect", () => {
+            progress.wasSent = true;
+        });
+    });
+    return sent;
+}
+
+function createBodyHeaders(request: types.FleetRequest): readonly string[] {
+    const mayHaveBody = request.body.length > 0 || !["GET", "HEAD", "DELETE"].includes(request.method);
+    return mayHaveBody ? ["Content-Length", String(request.body.length)] : [];
+}
+
+/** Asks for patience again and again until the attempt is over; returns the function that stops it. */
+function startWaiting(options: SendAttemptOptions, onOver: () => void): () => void {
+    const { loop, clock } = options.context;
+    let cancel = () => {};
+    const checkPatience = () => {
+        const patience = options.getPatience(clock.getNow() - options.slot.attempt.startedAt);
+        if (patience === "over") {
+            onOver();
+            return;
+        }
+        cancel = loop.scheduleOnce(Math.max(1, patience), checkPatience);
+    };
+    checkPatience();
+    return () => cancel();
+}
--- /dev/null
+++ b/src/requests/executorContext.ts
@@ -0,0 +1,111 @@
+/** The services that running a request needs. */
+
+import type * as http from "node:http";
+import type { Result } from "neverthrow";
+import type * as admission from "../admission/index.js";
+import type * as configuration from "../configuration/index.js";
+import type * as context from "../kernel/context.js";
+import * as errors from "../kernel/errors.js";
+import type * as pool from "../pool/index.js";
+import * as headers from "./headers.js";
+import * as retryBudget from "./retryBudget.js";
+import type * as types from "./types.js";
+
+/** Options of the executors' context. */
+export interface CreateExecutorContextOptions {
+    readonly context: context.Context;
+    readonly admission: admission.Admission;
+    readonly pool: pool.Pool;
+    readonly marks: pool.LeavingMarks;
+    readonly agent: http.Agent;
+}
+
+/** Hands out what attempts share. */
+export class ExecutorContext {
+    private readonly budgets = new Map<string, retryBudget.RetryBudget>();
+
+    constructor(private readonly options: CreateExecutorContextOptions) {}
+
+    /** The shared objects of the process. */
+    get context(): context.Context {
+        return this.options.context;
+    }
+
+    /** How long requests usually take. */
+    get latencies(): pool.Pool["latencies"] {
+        return this.options.pool.latencies;
+    }
+
+    /** The marks of leaving upstreams. */
+    get marks(): pool.LeavingMarks {
+        return this.options.marks;
+    }
+
+    /** The connections kept for requests that may be repeated. */
+    get agent(): http.Agent {
+        return this.options.agent;
+    }
+
+    /**
+     * Returns a service's retry budget.
+     * @param service - The service.
+     */
+    getBudget(service: string): retryBudget.RetryBudget {
+        const known = this.budgets.get(service) ?? new retryBudget.RetryBudget();
+        this.budgets.set(service, known);
+        return known;
+    }
+
+    /**
+     * Returns a service's definition in force.
+     * @param service - The service.
+     */
+    getServiceDefinition(service: string): configuration.ServiceDefinition | undefined {
+        return this.options.pool.getServicePool(service)?.definition;
+    }
+
+    /**
+     * Waits for a slot for a request.
+     * @param request - The request.
+     * @param excluded - Identifiers of upstreams it has been at; where they are all of them, they are allowed again.
+     * @param isRetry - Whether it held a slot before.
+     */
+    acquireSlot(request: types.FleetRequest, excluded: Set<string>, isRetry: boolean): Promise<Result<admission.Slot, errors.FleetError>> {
+        const { route } = request;
+        const now = this.context.clock.getNow();
+        const upstreams = this.options.pool.getServicePool(route.service)?.upstreams ?? [];
+        const untried = upstreams.filter(candidate => !excluded.has(candidate.getId()) && !candidate.isLeaving(now) && candidate.routability.kind === "routable");
+        if (untried.length === 0) {
+            excluded.clear();
+        }
+        return this.options.admission.acquireSlot({
+            service: route.service,
+            route: route.name,
+            rankIndex: route.rankIndex,
+            feature: request.feature,
+            isRepeatable: route.repeatable,
+            isRetry,
+            deadlineAt: request.deadlineAt,
+            excluded: new Set(excluded),
+            signal: request.signal,
+            getAbortError: () => errors.createError("callerGone"),
+            getUsualLatencyMs: () => this.latencies.getQuantile(route.service, route.name, 0.5),
+        });
+    }
+
+    /**
+     * Returns the fleet's headers of an answer, as name and value in turn.
+     * @param outcome - Whether the request has run.
+     * @param attempts - How many attempts were made.
+     */
+    createAnswerHeaders(outcome: errors.Outcome, attempts: number): readonly string[] {
+        return [
+            headers.fleetHeaders.outcome,
+            outcome,
+            headers.fleetHeaders.instance,
+            this.context.identity.instanceId,
+            headers.fleetHeaders.attempts,
+            String(attempts),
+        ];
+    }
+}
--- /dev/null
+++ b/src/requests/index.ts
@@ -0,0 +1,42 @@
+/** The plug-in that runs requests at upstreams. */
+
+import * as http from "node:http";
+import * as admission from "../admission/index.js";
+import * as plugins from "../kernel/plugins.js";
+import * as services from "../kernel/services.js";
+import * as pool from "../pool/index.js";
+import * as executorContext from "./executorContext.js";
+
+export { ExecutorContext } from "./executorContext.js";
+export { fleetHeaders, getValues, listEndToEndHeaders, removeFleetHeaders } from "./headers.js";
+export { type OnceResult, runOnce } from "./once.js";
+export { readAnswer } from "./readAnswer.js";
+export { type ExecutionSummary, runRepeatable } from "./repeatable.js";
+export type { FleetRequest, HeldAnswer } from "./types.js";
+
+/** Idle connections kept to one upstream. */
+const idleConnections = 2;
+/** How long an idle connection is kept, in milliseconds; below the usual patience of servers. */
+const idleConnectionMs = 4_000;
+
+/** The key of the executors' context. */
+export const executorKey = services.createKey<executorContext.ExecutorContext>("executor");
+
+plugins.registerPlugin({
+    name: "requests",
+    dependsOn: ["admission", "pool", "detection"],
+    create: shared => {
+        const agent = new http.Agent({ keepAlive: true, maxFreeSockets: idleConnections, timeout: idleConnectionMs, scheduling: "lifo" });
+        shared.services.setService(
+            executorKey,
+            new executorContext.ExecutorContext({
+                context: shared,
+                admission: shared.services.getService(admission.admissionKey),
+                pool: shared.services.getService(pool.poolKey),
+                marks: shared.services.getService(pool.leavingMarksKey),
+                agent,
+            }),
+        );
+        return { stop: async () => agent.destroy() };
+    },
+});
--- /dev/null
+++ b/src/requests/once.ts
@@ -0,0 +1,103 @@
+/** Runs a request that may not be repeated: it is sent once, or again only after proof that it was not run. */
+
+import { match } from "ts-pattern";
+import type * as admission from "../admission/index.js";
+import * as errors from "../kernel/errors.js";
+import type * as pool from "../pool/index.js";
+import * as attempt from "./attempt.js";
+import type * as executorContext from "./executorContext.js";
+import * as headers from "./headers.js";
+import * as readAnswer from "./readAnswer.js";
+import type * as types from "./types.js";
+
+/** How long after its deadline a sent request is still waited for, so that a repeat can be told its outcome, in milliseconds. */
+const graceMs = 30_000;
+
+/** The final result of a request that runs at most once. */
+export type OnceResult =
+    | { readonly kind: "answer"; readonly outcome: errors.Outcome; readonly answer: types.HeldAnswer; readonly attempts: number; }
+    | { readonly kind: "error"; readonly error: errors.FleetError; readonly attempts: number; };
+
+type StepResult = OnceResult | "again";
+
+/**
+ * Runs a request at most once.
+ * @param shared - The services that attempts use.
+ * @param request - The request; its signal is not heeded once it is sent.
+ * @remarks A second attempt follows only where no connection was made or the upstream's shed answer says that it did
+ * not run the request.
+ */
+export async function runOnce(shared: executorContext.ExecutorContext, request: types.FleetRequest): Promise<OnceResult> {
+    const excluded = new Set<string>();
+    for (let attempts = 1;; attempts += 1) {
+        const slot = await shared.acquireSlot(request, excluded, attempts > 1);
+        if (slot.isErr()) {
+            return { kind: "error", error: slot.error, attempts: attempts - 1 };
+        }
+        const step = await sendOnce(shared, request, slot.value, attempts);
+        if (step !== "again") {
+            return step;
+        }
+        excluded.add(slot.value.upstream.getId());
+    }
+}
+
+async function sendOnce(shared: executorContext.ExecutorContext, request: types.FleetRequest, slot: admission.Slot, attempts: number): Promise<StepResult> {
+    const { clock } = shared.context;
+    const definition = shared.getServiceDefinition(request.route.service);
+    // The process may have been stopped while the request waited, so the deadline is looked at again right before sending.
+    if (definition === undefined || clock.getNow() >= request.deadlineAt) {
+        slot.release("cancelled");
+        return { kind: "error", error: errors.createError("deadlineBeforeSend"), attempts };
+    }
+    const result = await attempt.sendAttempt({
+        context: shared.context,
+        slot,
+        service: definition,
+        request,
+        agent: undefined,
+        signal: new AbortController().signal,
+        onDraining: () => shared.marks.addMark(slot.upstream),
+        getPatience: () => {
+            const remainingMs = request.deadlineAt + graceMs - clock.getNow();
+            return remainingMs <= 0 ? "over" : remainingMs;
+        },
+    });
+    const release = (outcome: pool.AttemptOutcome) => slot.release(outcome);
+    return match(result)
+        .with({ kind: "shed" }, (): StepResult => {
+            release("shed");
+            return "again";
+        })
+        .with({ kind: "unreachable" }, (): StepResult => {
+            release("unreachable");
+            return "again";
+        })
+        .with({ kind: "lost" }, ({ reason }): StepResult => {
+            release("failed");
+            return { kind: "error", error: errors.createError("answerLost", `the answer was lost: ${reason}`), attempts };
+        })
+        .with({ kind: "timedOut" }, { kind: "cancelled" }, (): StepResult => {
+            release("timedOut");
+            return { kind: "error", error: errors.createError("deadlineAfterSend"), attempts };
+        })
+        .with({ kind: "answered" }, async ({ response }): Promise<StepResult> => {
+            const read = await readAnswer.readAnswer({ context: shared.context, response, maximumBytes: shared.context.settings.requestBodyBytes });
+            if (read.isErr()) {
+                release("failed");
+                return { kind: "error", error: createReadError(read.error), attempts };
+            }
+            const isServerError = read.value.status >= 500;
+            release(isServerError ? "failed" : "answered");
+            const answer = { ...read.value, rawHeaders: headers.removeFleetHeaders(read.value.rawHeaders) };
+            return { kind: "answer", outcome: isServerError ? "unknown" : "executed", answer, attempts };
+        })
+        .exhaustive();
+}
+
+function createReadError(failure: readAnswer.ReadFailure): errors.FleetError {
+    return match(failure)
+        .with("broken", () => errors.createError("answerLost", "the upstream answered, but its answer broke off"))
+        .with("tooLarge", () => errors.createError("orderAnswerNotKept", "the upstream answered, but its answer is larger than an instance holds"))
+        .exhaustive();
+}
--- /dev/null
+++ b/src/requests/rangeResume.ts
@@ -0,0 +1,73 @@
+/** When and how a broken body can be continued by a range request (RFC 9110, sections 13.1.5 and 14). */
+
+import type * as http from "node:http";
+
+/** A body that another upstream may continue. */
+export interface ResumableBody {
+    /** The strong entity tag that the continuation must carry. */
+    readonly entityTag: string;
+    /** Where the body begins within the whole representation, in bytes. */
+    readonly start: number;
+    /** The body's length in bytes. */
+    readonly length: number;
+    /** The length of the whole representation in bytes. */
+    readonly total: number;
+}
+
+interface ContentRange {
+    readonly first: number;
+    readonly last: number;
+    readonly total: number;
+}
+
+/**
+ * Returns what is needed to continue an answer's body; undefined where its validator does not allow it.
+ * @param method - The request's method.
+ * @param response - The answer.
+ */
+export function getResumableBody(method: string, response: http.IncomingMessage): ResumableBody | undefined {
+    const entityTag = response.headers.etag;
+    const length = Number(response.headers["content-length"]);
+    if (method !== "GET" || entityTag === undefined || !entityTag.startsWith("\"") || !Number.isSafeInteger(length)) {
+        return undefined;
+    }
+    if (response.statusCode === 200 && response.headers["accept-ranges"] === "bytes") {
+        return { entityTag, start: 0, length, total: length };
+    }
+    const range = parseContentRange(response.headers["content-range"]);
+    if (response.statusCode !== 206 || range === undefined || range.last - range.first + 1 !== length) {
+        return undefined;
+    }
+    return { entityTag, start: range.first, length, total: range.total };
+}
+
+/**
+ * Returns the headers that ask for the rest of a body, as name and value in turn.
+ * @param body - The body.
+ * @param offset - The bytes of it that have come.
+ */
+export function createResumeHeaders(body: ResumableBody, offset: number): readonly string[] {
+    const first = body.start + offset;
+    const last = body.start + body.length - 1;
+    return ["Range", `bytes=${first}-${last}`, "If-Range", body.entityTag];
+}
+
+/**
+ * Returns whether an answer is exactly the rest of a body.
+ * @param body - The body.
+ * @param offset - The bytes of it that have come.
+ * @param response - The answer to the range request.
+ */
+export function isRestOf(body: ResumableBody, offset: number, response: http.IncomingMessage): boolean {
+    const range = parseContentRange(response.headers["content-range"]);
+    return response.statusCode === 206
+        && response.headers.etag === body.entityTag
+        && range?.first === body.start + offset
+        && range.last === body.start + body.length - 1
+        && range.total === body.total;
+}
+
+function parseContentRange(text: string | undefined): ContentRange | undefined {
+    const parts = /^bytes (\d{1,15})-(\d{1,15})\/(\d{1,15})$/.exec(text ?? "");
+    return !parts ? undefined : { first: Number(parts[1]), last: Number(parts[2]), total: Number(parts[3]) };
+}
--- /dev/null
+++ b/src/requests/readAnswer.ts
@@ -0,0 +1,68 @@
+/** Reads an upstream's or another instance's whole answer into memory. */
+
+import type * as http from "node:http";
+import { err, ok, type Result } from "neverthrow";
+import type * as context from "../kernel/context.js";
+import * as headers from "./headers.js";
+import type * as types from "./types.js";
+
+/** Why an answer could not be read whole. */
+export type ReadFailure = "broken" | "tooLarge";
+
+/** Options of a read. */
+export interface ReadAnswerOptions {
+    readonly context: context.Context;
+    readonly response: http.IncomingMessage;
+    /** The largest body, in bytes. */
+    readonly maximumBytes: number;
+}
+
+/**
+ * Reads an answer.
+ * @param options - The answer and its limits.
+ */
+export function readAnswer(options: ReadAnswerOptions): Promise<Result<types.HeldAnswer, ReadFailure>> {
+    const { response, maximumBytes, context: { loop, settings } } = options;
+    const isMeasured = response.headers["content-length"] !== undefined
+        || response.headers["transfer-encoding"] === "chunked"
+        || response.statusCode === 204;
+    return new Promise(resolve => {
+        const parts: Buffer[] = [];
+        let bytes = 0;
+        let cancelIdle = () => {};
+        const finish = (result: Result<types.HeldAnswer, ReadFailure>) => {
+            cancelIdle();
+            if (result.isErr()) {
+                response.destroy();
+            }
+            resolve(result);
+        };
+        const startIdle = () => {
+            cancelIdle();
+            cancelIdle = loop.scheduleOnce(settings.bodyIdleTimeoutMs, () => finish(err("broken")));
+        };
+        response.on("error", () => finish(err("broken")));
+        response.on("close", () => finish(err("broken")));
+        response.on("data", (chunk: Buffer) => {
+            startIdle();
+            bytes += chunk.length;
+            parts.push(chunk);
+            if (bytes > maximumBytes) {
+                finish(err("tooLarge"));
+            }
+        });
+        response.on("end", () => {
+            const isWhole = response.complete && isMeasured;
+            finish(
+                isWhole
+                    ? ok({
+                        status: response.statusCode ?? 502,
+                        rawHeaders: headers.listEndToEndHeaders(response.rawHeaders, ["content-length"]),
+                        body: Buffer.concat(parts),
+                    })
+                    : err("broken"),
+            );
+        });
+        startIdle();
+    });
+}
--- /dev/null
+++ b/src/requests/types.ts
@@ -0,0 +1,28 @@
+/** Plain data of a request on its way to an upstream. */
+
+import type * as configuration from "../configuration/index.js";
+
+/** A caller's request, checked and matched to its route. */
+export interface FleetRequest {
+    readonly method: string;
+    /** The path with its query. */
+    readonly path: string;
+    /** End-to-end headers as name and value in turn. */
+    readonly rawHeaders: readonly string[];
+    readonly body: Buffer;
+    readonly route: configuration.CompiledRoute;
+    readonly workspace: string;
+    readonly feature: string | undefined;
+    /** Monotonic milliseconds. */
+    readonly deadlineAt: number;
+    /** Aborted when the caller leaves. */
+    readonly signal: AbortSignal;
+}
+
+/** An upstream's or the fleet's answer, held in memory. */
+export interface HeldAnswer {
+    readonly status: number;
+    /** End-to-end headers as name and value in turn. */
+    readonly rawHeaders: readonly string[];
+    readonly body: Buffer;
+}
--- /dev/null
+++ b/src/store/etcdStore.ts
@@ -0,0 +1,218 @@
+/** A store behind the published etcd v3 JSON gateway: range, txn, lease and watch. */
+
+import * as http from "node:http";
+import * as https from "node:https";
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import type * as context from "../kernel/context.js";
+import * as errors from "../kernel/errors.js";
+import * as adapters from "./adapters.js";
+import * as callBudget from "./callBudget.js";
+import type * as types from "./types.js";
+
+const maximumAnswerBytes = 64 * 1024 * 1024;
+const watchConnectTimeoutFactor = 2;
+
+const keyValueSchema = z.object({ key: z.string(), value: z.string().default(""), mod_revision: z.coerce.number() });
+const headerSchema = z.object({ revision: z.coerce.number() });
+const rangeSchema = z.object({ header: headerSchema, kvs: z.array(keyValueSchema).default([]) });
+const swapSchema = z.object({
+    header: headerSchema,
+    succeeded: z.boolean().default(false),
+    responses: z.array(z.object({ response_range: rangeSchema.partial().optional() })).default([]),
+});
+const leaseSchema = z.object({ ID: z.string() });
+const keepAliveSchema = z.object({ result: z.object({ TTL: z.coerce.number().default(0) }) });
+const watchSchema = z.object({
+    result: z.object({
+        canceled: z.boolean().default(false),
+        events: z.array(z.object({ type: z.enum(["PUT", "DELETE"]).default("PUT"), kv: keyValueSchema })).default([]),
+    }),
+});
+
+function encodeText(text: string): string {
+    return Buffer.from(text, "utf8").toString("base64");
+}
+
+function decodeText(base64: string): string {
+    return Buffer.from(base64, "base64").toString("utf8");
+}
+
+function decodeEntry(pair: z.infer<typeof keyValueSchema>): types.Entry {
+    return { key: decodeText(pair.key), value: decodeText(pair.value), revision: pair.mod_revision };
+}
+
+/** Returns the first key after every key of a prefix, as the protocol's `range_end`. */
+function encodePrefixEnd(prefix: string): string {
+    const bytes = Buffer.from(prefix, "utf8");
+    bytes.writeUInt8(bytes.readUInt8(bytes.length - 1) + 1, bytes.length - 1);
+    return bytes.toString("base64");
+}
+
+/** The client of one gateway. */
+export class EtcdStore implements types.Store {
+    private readonly transport: typeof http | typeof https;
+    private readonly agent: http.Agent;
+
+    constructor(private readonly url: string, private readonly timeoutMs: number, private readonly budget: callBudget.CallBudget) {
+        this.transport = url.startsWith("https:") ? https : http;
+        this.agent = new this.transport.Agent({ keepAlive: true, maxSockets: 8 });
+    }
+
+    readonly listEntries = async (prefix: string) => {
+        const answer = await this.sendCall("/v3/kv/range", { key: encodeText(prefix), range_end: encodePrefixEnd(prefix) }, rangeSchema);
+        return answer.map(range => ({ entries: range.kvs.map(decodeEntry), revision: range.header.revision }));
+    };
+
+    readonly getEntry = async (key: string) => {
+        const answer = await this.sendCall("/v3/kv/range", { key: encodeText(key) }, rangeSchema);
+        return answer.map(range => range.kvs.map(decodeEntry)[0]);
+    };
+
+    readonly swapEntry = async (request: types.SwapRequest) => {
+        const key = encodeText(request.key);
+        const put = { key, value: encodeText(request.value), ...(request.leaseId === undefined ? {} : { lease: request.leaseId }) };
+        const answer = await this.sendCall("/v3/kv/txn", {
+            compare: [{ key, target: "MOD", result: "EQUAL", mod_revision: String(request.expectedRevision) }],
+            success: [{ request_put: put }],
+            failure: [{ request_range: { key } }],
+        }, swapSchema);
+        return answer.map((swap): types.SwapAnswer => {
+            if (swap.succeeded) {
+                return { kind: "swapped", revision: swap.header.revision };
+            }
+            return { kind: "conflict", current: swap.responses[0]?.response_range?.kvs?.map(decodeEntry)[0] };
+        });
+    };
+
+    readonly createLease = async (ttlMs: number) => {
+        const answer = await this.sendCall("/v3/lease/grant", { TTL: String(Math.ceil(ttlMs / 1_000)) }, leaseSchema);
+        return answer.map(lease => lease.ID);
+    };
+
+    readonly sendKeepAlive = async (leaseId: string): Promise<Result<void, errors.FleetError>> => {
+        const answer = await this.sendCall("/v3/lease/keepalive", { ID: leaseId }, keepAliveSchema);
+        return answer.andThen(kept => kept.result.TTL > 0 ? ok(undefined) : err(errors.createError("storeUnavailable", `the lease ${leaseId} has expired`)));
+    };
+
+    readonly removeLease = async (leaseId: string) => {
+        const answer = await this.sendCall("/v3/lease/revoke", { ID: leaseId }, z.object({}));
+        return answer.map(() => undefined);
+    };
+
+    readonly watchPrefix = (request: types.WatchRequest) => {
+        this.budget.recordCall();
+        const body = JSON.stringify({
+            create_request: { key: encodeText(request.prefix), range_end: encodePrefixEnd(request.prefix), start_revision: String(request.fromRevision) },
+        });
+        let isClosed = false;
+        const reportBroken = () => {
+            if (!isClosed) {
+                isClosed = true;
+                sent.destroy();
+                request.onBroken();
+            }
+        };
+        const sent = this.transport.request(`${this.url}/v3/watch`, { method: "POST", headers: { "content-type": "application/json" } });
+        const connectTimer = setTimeout(reportBroken, this.timeoutMs * watchConnectTimeoutFactor);
+        sent.on("error", reportBroken);
+        sent.on("close", () => clearTimeout(connectTimer));
+        sent.on("response", response => {
+            clearTimeout(connectTimer);
+            response.on("close", reportBroken);
+            readLines(response, line => isClosed ? undefined : this.readWatchLine(line, request, reportBroken));
+        });
+        sent.end(body);
+        return () => {
+            isClosed = true;
+            sent.destroy();
+        };
+    };
+
+    readonly close = () => {
+        this.agent.destroy();
+    };
+
+    private readWatchLine(line: string, request: types.WatchRequest, reportBroken: () => void): void {
+        const message = watchSchema.safeParse(parseJson(line));
+        if (!message.success || message.data.result.canceled) {
+            reportBroken();
+            return;
+        }
+        for (const event of message.data.result.events) {
+            const entry = decodeEntry(event.kv);
+            request.onEvent(event.type === "PUT" ? { kind: "put", entry } : { kind: "removed", key: entry.key });
+        }
+    }
+
+    private async sendCall<T>(path: string, body: unknown, schema: z.ZodType<T>): Promise<Result<T, errors.FleetError>> {
+        if (!this.budget.isCallAdmitted()) {
+            return err(errors.createError("storeUnavailable", `the budget of calls to the store is used up; ${path} was not sent`));
+        }
+        this.budget.recordCall();
+        const answer = await this.sendRequest(path, JSON.stringify(body));
+        return answer.andThen(text => {
+            const parsed = schema.safeParse(parseJson(text));
+            return parsed.success ? ok(parsed.data) : err(errors.createError("storeUnavailable", `the store's answer to ${path} is malformed`));
+        });
+    }
+
+    private sendRequest(path: string, body: string): Promise<Result<string, errors.FleetError>> {
+        return new Promise(resolve => {
+            const reject = (reason: string) => resolve(err(errors.createError("storeUnavailable", `${path}: ${reason}`)));
+            const sent = this.transport.request(`${this.url}${path}`, {
+                method: "POST",
+                agent: this.agent,
+                headers: { "content-type": "application/json", "content-length": Buffer.byteLength(body) },
+            });
+            const timer = setTimeout(() => sent.destroy(new Error(`no answer within ${this.timeoutMs} ms`)), this.timeoutMs);
+            sent.on("error", error => reject(errors.getThrownMessage(error)));
+            sent.on("close", () => {
+                clearTimeout(timer);
+                reject("the connection closed");
+            });
+            sent.on("response", response => {
+                let text = "";
+                response.setEncoding("utf8");
+                response.on("data", (chunk: string) => {
+                    text += chunk;
+                    if (text.length > maximumAnswerBytes) {
+                        sent.destroy(new Error(`the answer is over ${maximumAnswerBytes} bytes`));
+                    }
+                });
+                response.on("error", error => reject(errors.getThrownMessage(error)));
+                response.on("end", () => response.statusCode === 200 ? resolve(ok(text)) : reject(`status ${response.statusCode}`));
+            });
+            sent.end(body);
+        });
+    }
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text) as unknown;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+/** Calls back with each complete line of a stream. */
+function readLines(stream: http.IncomingMessage, onLine: (line: string) => void): void {
+    let rest = "";
+    stream.setEncoding("utf8");
+    stream.on("error", () => {});
+    stream.on("data", (chunk: string) => {
+        const parts = (rest + chunk).split("\n");
+        rest = parts.pop() ?? "";
+        parts.filter(part => part.trim() !== "").forEach(onLine);
+    });
+}
+
+function createEtcdStore(url: string, { settings, clock }: context.Context): EtcdStore {
+    const budget = new callBudget.CallBudget({ callsPerSecond: settings.storeCallsPerSecond, clock });
+    return new EtcdStore(url.replace(/\/$/, ""), settings.storeTimeoutMs, budget);
+}
+
+adapters.registerAdapter({ scheme: "http://", create: createEtcdStore });
+adapters.registerAdapter({ scheme: "https://", create: createEtcdStore });
--- /dev/null
+++ b/src/version.generated.ts
@@ -0,0 +1,2 @@
+/** The version of package.json; made by npm run build. */
+export const version = "0.1.0";
--- /dev/null
+++ b/test/standins/faultProxy.ts
@@ -0,0 +1,85 @@
+/** A TCP proxy that injects faults: delay, one-way block, reset, cut after N bytes, refusal. */
+
+import * as net from "node:net";
+import * as control from "./control.js";
+
+/** What a control port may change. */
+export interface FaultBehaviour {
+    /** Added to each chunk in each direction, in milliseconds. */
+    delayMs: number;
+    /** Bytes from the client are swallowed. */
+    blocksForward: boolean;
+    /** Bytes from the server are swallowed. */
+    blocksBackward: boolean;
+    /** New connections are reset. */
+    refuses: boolean;
+    /** Bytes from the server after which a connection is reset; 0 for never. */
+    cutAfterBytes: number;
+}
+
+/** Starts a proxy to HOST:PORT; returns its ports. */
+export async function startFaultProxy(target: string) {
+    const behaviour: FaultBehaviour = { delayMs: 0, blocksForward: false, blocksBackward: false, refuses: false, cutAfterBytes: 0 };
+    const sockets = new Set<net.Socket>();
+    const counts = { connections: 0, forwardBytes: 0, backwardBytes: 0 };
+    const [host, port] = target.split(":");
+    const pass = (chunk: Buffer, from: net.Socket, to: net.Socket, isBlocked: boolean) => {
+        if (isBlocked) {
+            return;
+        }
+        const write = () => {
+            if (!to.write(chunk)) {
+                from.pause();
+                to.once("drain", () => from.resume());
+            }
+        };
+        if (behaviour.delayMs > 0) {
+            setTimeout(write, behaviour.delayMs);
+            return;
+        }
+        write();
+    };
+    const server = net.createServer(client => {
+        counts.connections += 1;
+        if (behaviour.refuses) {
+            client.resetAndDestroy();
+            return;
+        }
+        const upstream = net.connect({ host: host!, port: Number(port) });
+        let backward = 0;
+        client.on("data", chunk => {
+            counts.forwardBytes += chunk.length;
+            pass(chunk, client, upstream, behaviour.blocksForward);
+        });
+        upstream.on("data", chunk => {
+            backward += chunk.length;
+            counts.backwardBytes += chunk.length;
+            if (behaviour.cutAfterBytes > 0 && backward > behaviour.cutAfterBytes) {
+                client.resetAndDestroy();
+                return;
+            }
+            pass(chunk, upstream, client, behaviour.blocksBackward);
+        });
+        for (const [socket, other] of [[client, upstream], [upstream, client]] as const) {
+            sockets.add(socket);
+            socket.setNoDelay(true);
+            socket.on("error", () => other.destroy());
+            socket.on("end", () => other.end());
+            socket.on("close", () => {
+                sockets.delete(socket);
+                setTimeout(() => other.destroy(), 100);
+            });
+        }
+    });
+    const listening = await control.startListening(server);
+    const controlPort = await control.startControl({
+        getState: () => ({ ...counts, behaviour }),
+        setBehaviour: ({ action, ...change }) => {
+            Object.assign(behaviour, change);
+            if (action === "reset") {
+                sockets.forEach(socket => socket.resetAndDestroy());
+            }
+        },
+    });
+    return { port: listening, controlPort };
+}
