--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -38,7 +38,7 @@
     };
 }
 
-async function followEvents(instances: readonly fleet.Instance[], state: { isOver: boolean; }): Promise<void> {
+async function watchEvents(instances: readonly fleet.Instance[], state: { isOver: boolean; }): Promise<void> {
     const shown = new Set<string>();
     while (!state.isOver) {
         for (const instance of instances) {
@@ -68,7 +68,7 @@
     processesToStop.push(...instances.map(instance => instance.process));
     printLine(`three instances run: ${instances.map(instance => `${instance.id} in ${instance.failureDomain}`).join(", ")}`);
     const state = { isOver: false };
-    const following = followEvents(instances, state);
+    const following = watchEvents(instances, state);
     await fleet.applyConfiguration(instances[0]!, createDocument(pools));
     printLine("the configuration is in force at all three");
     const { orderKeyPrefix } = await instances[0]!.getEntries();
