Prove that orders run at most once and that not-executed is the truth

Also: the codec's native part is left out of the bundle, whose absence the single binary warned of at each start.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -11,7 +11,8 @@
     entryPoints: ["src/main.ts"],
     format: "cjs",
     outfile: "dist/agatebend.cjs",
-    define: { "import.meta.url": "importMetaUrl" },
+    // The native part of the codec is left out, since one file cannot hold it.
+    define: { "import.meta.url": "importMetaUrl", "process.env.CBOR_NATIVE_ACCELERATION_DISABLED": "\"true\"" },
     banner: { js: "#!/usr/bin/env node\nconst importMetaUrl=require(\"node:url\").pathToFileURL(__filename).href;" },
 });
 fs.chmodSync("dist/agatebend.cjs", 0o755);
--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -7,6 +7,7 @@
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import type * as pool from "../pool/index.js";
+import * as attempt from "./attempt.js";
 import * as headers from "./headers.js";
 import * as retryBudget from "./retryBudget.js";
 import type * as types from "./types.js";
@@ -18,13 +19,20 @@
     readonly pool: pool.Pool;
     readonly marks: pool.LeavingMarks;
     readonly agent: http.Agent;
+    /** Sends an attempt; another function stands in for the network in tests. */
+    readonly sendAttempt?: typeof attempt.sendAttempt;
 }
 
 /** Hands out what attempts share. */
 export class ExecutorContext {
     private readonly budgets = new Map<string, retryBudget.RetryBudget>();
 
-    constructor(private readonly options: CreateExecutorContextOptions) {}
+    /** Sends an attempt. */
+    readonly sendAttempt: typeof attempt.sendAttempt;
+
+    constructor(private readonly options: CreateExecutorContextOptions) {
+        this.sendAttempt = options.sendAttempt ?? attempt.sendAttempt;
+    }
 
     /** The shared objects of the process. */
     get context(): context.Context {
--- a/src/requests/once.ts
+++ b/src/requests/once.ts
@@ -4,7 +4,6 @@
 import type * as admission from "../admission/index.js";
 import * as errors from "../kernel/errors.js";
 import type * as pool from "../pool/index.js";
-import * as attempt from "./attempt.js";
 import type * as executorContext from "./executorContext.js";
 import * as headers from "./headers.js";
 import * as readAnswer from "./readAnswer.js";
@@ -50,7 +49,7 @@
         slot.release("cancelled");
         return { kind: "error", error: errors.createError("deadlineBeforeSend"), attempts };
     }
-    const result = await attempt.sendAttempt({
+    const result = await shared.sendAttempt({
         context: shared.context,
         slot,
         service: definition,
--- a/src/requests/repeatable.ts
+++ b/src/requests/repeatable.ts
@@ -5,7 +5,6 @@
 import type * as admission from "../admission/index.js";
 import * as errors from "../kernel/errors.js";
 import type * as pool from "../pool/index.js";
-import * as attempt from "./attempt.js";
 import type * as executorContext from "./executorContext.js";
 import * as headers from "./headers.js";
 import * as rangeResume from "./rangeResume.js";
@@ -79,7 +78,7 @@
             slot.value.release("cancelled");
             return { kind: "error", error: errors.createError("routeNotFound", `the service ${service} is no longer configured`) };
         }
-        const result = await attempt.sendAttempt({
+        const result = await shared.sendAttempt({
             context: shared.context,
             slot: slot.value,
             service: definition,
--- a/test/harness/fleet.ts
+++ b/test/harness/fleet.ts
@@ -2,7 +2,8 @@
 
 import * as processes from "./processes.js";
 
-const program = "dist/agatebend.cjs";
+/** The program under test; another build of it may be named to see a test fail without a mechanism. */
+const program = process.env.TEST_PROGRAM ?? "dist/agatebend.cjs";
 
 /** Options of an instance. */
 export interface StartInstanceOptions {
