--- /dev/null
+++ b/bench/detection.bench.ts
@@ -0,0 +1,151 @@
+/** Measures detection: time to route around a failure, requests hurt, wrong ejections, and the floor. */
+
+import * as deployments from "./deployments.js";
+import * as load from "./load.js";
+
+const requestsPerSecondAndUpstream = 20;
+const serviceMs = 25;
+const deadlineMs = 2_000;
+/** A request is hurt if it fails or takes longer than this, in milliseconds. */
+const hurtMs = 500;
+const targetMs = 1_000;
+const scenarioMs = 5_000;
+const settleMs = 9_000;
+
+/** A failure that is brought about and ended. */
+interface Scenario {
+    readonly name: string;
+    /** The place of the upstream that fails; undefined where none should be ejected. */
+    readonly sick: number | undefined;
+    readonly durationMs: number;
+    readonly begin: (running: deployments.RunningDeployment, deployment: deployments.Deployment) => Promise<void>;
+    readonly end: (running: deployments.RunningDeployment) => Promise<void>;
+    readonly extraRequestsPerSecond?: number;
+}
+
+function createChange(name: string, sick: number, change: object, undo: object): Scenario {
+    return { name, sick, durationMs: scenarioMs, begin: running => running.upstreams[sick]!.setBehaviour(change), end: running => running.upstreams[sick]!.setBehaviour(undo) };
+}
+
+const setAll = (running: deployments.RunningDeployment, change: object) => Promise.all(running.upstreams.map(started => started.setBehaviour(change))).then(() => {});
+
+const scenarios: readonly Scenario[] = [
+    { name: "nothing fails", sick: undefined, durationMs: scenarioMs, begin: async () => {}, end: async () => {} },
+    createChange("stall, health good", 1, { isStalled: true }, { isStalled: false }),
+    createChange("ten times slower", 2, { serviceMs: serviceMs * 10 + 50 }, { serviceMs }),
+    createChange("errors on real work", 3, { errorPart: 0.9 }, { errorPart: 0 }),
+    {
+        name: "flapping, 1.5 s each way",
+        sick: 4,
+        durationMs: 9_000,
+        begin: async running => {
+            for (let flap = 0; flap < 6; flap += 1) {
+                setTimeout(() => void running.upstreams[4]!.setBehaviour({ isStalled: flap % 2 === 0 }), flap * 1_500);
+            }
+        },
+        end: running => running.upstreams[4]!.setBehaviour({ isStalled: false }),
+    },
+    {
+        name: "cut from one failure domain",
+        sick: undefined,
+        durationMs: scenarioMs,
+        begin: (running, deployment) => running.upstreams[5]!.setBehaviour({ cutFrom: running.instances.filter(instance => instance.failureDomain === deployment.domains[0]).map(instance => instance.id).join(",") }),
+        end: running => running.upstreams[5]!.setBehaviour({ cutFrom: "" }),
+    },
+    { name: "the whole service four times slower", sick: undefined, durationMs: scenarioMs, begin: running => setAll(running, { serviceMs: serviceMs * 4 }), end: running => setAll(running, { serviceMs }) },
+    { name: "bulk flood", sick: undefined, durationMs: scenarioMs, extraRequestsPerSecond: 900, begin: running => setAll(running, { serviceMs: 80 }), end: running => setAll(running, { serviceMs }) },
+];
+
+interface EjectionEvent {
+    readonly at: number;
+    readonly instance: string;
+    readonly upstream: string;
+    readonly isEjection: boolean;
+}
+
+function listEvents(running: deployments.RunningDeployment): readonly EjectionEvent[] {
+    return running.instances.flatMap(instance =>
+        ["ejected", "recovering"].flatMap(change =>
+            instance.listLogs(`upstream-${change}`).map(line => ({
+                at: (line as unknown as { readonly time: number; }).time,
+                instance: instance.id,
+                upstream: String(line.context.upstream),
+                isEjection: change === "ejected",
+            }))
+        )
+    ).sort((a, b) => a.at - b.at);
+}
+
+/** Returns the most upstreams that were ejected at once, over the union of all instances. */
+function computeWidestUnion(events: readonly EjectionEvent[]): number {
+    const held = new Set<string>();
+    let widest = 0;
+    for (const event of events) {
+        const key = `${event.instance}/${event.upstream}`;
+        if (event.isEjection) {
+            held.add(key);
+        }
+        else {
+            held.delete(key);
+        }
+        widest = Math.max(widest, new Set([...held].map(name => name.split("/")[1])).size);
+    }
+    return widest;
+}
+
+async function runScenario(running: deployments.RunningDeployment, deployment: deployments.Deployment, scenario: Scenario): Promise<string> {
+    const base = requestsPerSecondAndUpstream * deployment.upstreams;
+    const rate = base + (scenario.extraRequestsPerSecond ?? 0);
+    const eventsBefore = listEvents(running).length;
+    const hurt = { urgent: 0, bulk: 0 };
+    let sent = 0;
+    const loading = load.runLoad({
+        requestsPerSecond: rate,
+        durationMs: scenario.durationMs + 1_000,
+        createRequest: index => {
+            const rank = index % rate < base || scenario.extraRequestsPerSecond === undefined ? "urgent" : "bulk";
+            return { url: `http://${running.instances[index % running.instances.length]!.ports.caller}/${rank}/${index}`, label: rank, timeoutMs: deadlineMs + 1_000 };
+        },
+        onEnd: (request, result) => {
+            sent += 1;
+            hurt[request.label as "urgent"] += result.status !== 200 || !result.isWhole || result.latencyMs > hurtMs ? 1 : 0;
+        },
+    });
+    await new Promise(resolve => setTimeout(resolve, 1_000));
+    const failedAt = Date.now();
+    await scenario.begin(running, deployment);
+    await loading;
+    await scenario.end(running);
+    const events = listEvents(running).slice(eventsBefore);
+    const wrong = events.filter(event => event.isEjection && event.upstream !== `u${scenario.sick}`).length;
+    let detected = "-";
+    if (scenario.sick !== undefined) {
+        const { arrivals } = await running.upstreams[scenario.sick]!.getState<{ readonly arrivals: readonly { readonly via: string; readonly at: number; }[]; }>();
+        const late = arrivals.filter(arrival => arrival.at > failedAt && arrival.at < failedAt + 3_800).map(arrival => arrival.at - failedAt);
+        const last = late.length === 0 ? 0 : Math.max(...late);
+        const first = events.find(event => event.isEjection && event.upstream === `u${scenario.sick}`);
+        detected = `${first === undefined ? "not ejected" : `ejected after ${first.at - failedAt} ms`}, last work sent after ${last} ms`;
+    }
+    await new Promise(resolve => setTimeout(resolve, settleMs));
+    return `${scenario.name.padEnd(36)} | ${detected.padEnd(54)} | hurt: urgent ${hurt.urgent}, bulk ${hurt.bulk} of ${sent} | wrong ejections ${wrong} | least routable ${
+        deployment.upstreams - computeWidestUnion(listEvents(running))
+    } (floor ${deployment.floor})`;
+}
+
+const wanted = process.argv.slice(2);
+for (const [key, method] of [["quillen", "shared"], ["ashby", "shared"], ["quillen", "local"], ["quillen", "consecutive"]] as const) {
+    if (wanted.length > 0 && !wanted.includes(`${key}:${method}`)) {
+        continue;
+    }
+    const deployment = deployments.deployments[key];
+    const running = await deployments.startDeployment(deployment, { serviceMs, deadlineMs, flags: { detection: method } });
+    try {
+        console.log(`${deployment.name}: ${deployment.instances} instances, ${deployment.upstreams} upstreams, ${requestsPerSecondAndUpstream} requests/s each; detection ${method}; target ${targetMs} ms`);
+        for (const scenario of scenarios) {
+            console.log(await runScenario(running, deployment, scenario));
+        }
+    }
+    finally {
+        await running.stop();
+    }
+}
--- a/src/configuration/changeWriter.ts
+++ b/src/configuration/changeWriter.ts
@@ -159,14 +159,24 @@
             return err(errors.createError("configurationInvalid", `the part ${tooLarge.name} takes ${Buffer.byteLength(tooLarge.text)} bytes; the store takes ${maximumValueBytes} in one value`));
         }
         for (const chunk of all.filter(candidate => !present.has(candidate.hash))) {
-            const answer = await this.options.store.swapEntry({ key: this.getChunkKey(chunk.hash), expectedRevision: 0, value: chunk.text });
-            if (answer.isErr()) {
-                return err(answer.error);
+            const written = await this.writeChunk(chunk);
+            if (written.isErr()) {
+                return err(written.error);
             }
         }
         return ok(undefined);
     }
 
+    /** Writes a chunk; trying again is safe, since its key is made from its text. */
+    private async writeChunk(chunk: chunks.Chunk): Promise<Result<void, errors.FleetError>> {
+        const swap = { key: this.getChunkKey(chunk.hash), expectedRevision: 0, value: chunk.text };
+        let answer = await this.options.store.swapEntry(swap);
+        for (let attempt = 1; attempt < resolveAttempts && answer.isErr(); attempt += 1) {
+            answer = await this.options.store.swapEntry(swap);
+        }
+        return answer.map(() => undefined);
+    }
+
     private async writeHead(head: chunks.Head, revision: number): Promise<Result<void, errors.FleetError>> {
         const swap = { key: this.getHeadKey(), expectedRevision: revision, value: JSON.stringify(head) };
         for (let attempt = 0; attempt < resolveAttempts; attempt += 1) {
--- a/src/detection/detection.ts
+++ b/src/detection/detection.ts
@@ -44,7 +44,6 @@
     readonly followedSince: Map<string, number>;
     judgements: ReadonlyMap<string, judge.Judgement>;
     decider: string;
-    decidingSince: number;
     published: string;
 }
 
@@ -108,8 +107,11 @@
 
     private checkPool(servicePool: pool.ServicePool, running: readonly string[], now: number): void {
         const state = this.getState(servicePool.name);
-        this.setDecider(servicePool.name, state, chooseDecider(servicePool.name, running) ?? this.options.context.identity.instanceId, now);
-        this.setAvoidance(servicePool, now);
+        const self = this.options.context.identity.instanceId;
+        this.setDecider(servicePool.name, state, this.isShared() ? chooseDecider(servicePool.name, running) ?? self : self, now);
+        if (this.options.context.settings.detection !== "consecutive") {
+            this.setAvoidance(servicePool, now);
+        }
         this.sendReport(servicePool, state, now);
         if (this.isDecidedHere(state)) {
             this.decide(servicePool, state, now);
@@ -157,11 +159,13 @@
         const reports = [...state.reports]
             .filter(([instanceId, report]) => now - report.receivedAt <= reportLifeMs && domains.has(instanceId))
             .map(([instanceId, report]) => ({ instanceId, failureDomain: domains.get(instanceId)!, entries: report.entries.map(entry => addAge(entry, now - report.receivedAt)) }));
-        state.judgements = judge.createJudgements({
-            reports,
-            requiredInstances: Math.min(2, this.countKnown()),
-            requiredDomains: Math.min(2, new Set(domains.values()).size),
-        });
+        state.judgements = this.options.context.settings.detection === "consecutive"
+            ? judge.createConsecutiveJudgements(reports.flatMap(report => report.entries))
+            : judge.createJudgements({
+                reports,
+                requiredInstances: Math.min(2, this.countKnown()),
+                requiredDomains: this.isShared() ? Math.min(2, new Set(domains.values()).size) : 1,
+            });
         const changes = state.ejections.decidePhases({
             now,
             judgements: state.judgements,
@@ -195,7 +199,6 @@
         const { instanceId } = this.options.context.identity;
         const inherited = this.getVerdicts(service, state);
         state.decider = decider;
-        state.decidingSince = now;
         state.reports.clear();
         state.followedSince.clear();
         state.ejections.removeAll();
@@ -231,6 +234,9 @@
     /** Lists the instances that have followed this one long enough for a former decider's verdicts to have lapsed there. */
     private listFollowers(service: string, state: ServiceState, now: number): readonly string[] {
         const { mesh, context: { identity } } = this.options;
+        if (!this.isShared()) {
+            return [identity.instanceId];
+        }
         const alive = new Set(mesh.listMembers().filter(member => member.state !== "suspect").map(member => member.instanceId));
         const following = [...mesh.getRegisters(followTopic)]
             .filter(([origin, body]) => alive.has(origin) && followSchema.safeParse(body).data?.[service] === identity.instanceId)
@@ -259,8 +265,13 @@
         return state.decider === this.options.context.identity.instanceId;
     }
 
+    private isShared(): boolean {
+        return this.options.context.settings.detection === "shared";
+    }
+
+    /** Counts the instances that might be in the fleet; one that decides alone counts itself alone. */
     private countKnown(): number {
-        return Math.max(1, this.lastHeardAt.size);
+        return this.isShared() ? Math.max(1, this.lastHeardAt.size) : 1;
     }
 
     private removeSilent(now: number): void {
@@ -272,7 +283,7 @@
     }
 
     private getState(service: string): ServiceState {
-        const known = this.services.get(service) ?? { ejections: new ejections.Ejections(), reports: new Map(), followedSince: new Map(), judgements: new Map(), decider: "", decidingSince: 0, published: "" };
+        const known = this.services.get(service) ?? { ejections: new ejections.Ejections(), reports: new Map(), followedSince: new Map(), judgements: new Map(), decider: "", published: "" };
         this.services.set(service, known);
         return known;
     }
@@ -286,5 +297,5 @@
 
 /** Moves a report's ages on by the time since it came. */
 function addAge(entry: evidence.EvidenceEntry, ageMs: number): evidence.EvidenceEntry {
-    return { ...entry, okAgeMs: entry.okAgeMs + ageMs, newestOverdueMs: entry.overdue === 0 ? 0 : entry.newestOverdueMs + ageMs };
+    return { ...entry, okAgeMs: entry.okAgeMs + ageMs, newestBadMs: entry.streak === 0 ? 0 : entry.newestBadMs + ageMs };
 }
--- a/src/detection/ejections.ts
+++ b/src/detection/ejections.ts
@@ -139,8 +139,8 @@
     private decideTrial(upstream: string, ledger: Ledger, phase: Phase & { kind: "trial"; }, summary: judge.Summary | undefined, input: DecisionInput): PhaseChange | undefined {
         const { now } = input;
         const trialMs = now - phase.startedAt;
-        const hasFreshOverdue = (summary?.overdue ?? 0) > 0 && summary!.newestOverdueMs < trialMs;
-        if (summary !== undefined && (summary.bad > 0 || hasFreshOverdue)) {
+        // What was sent before the trial began says nothing about it.
+        if (summary !== undefined && summary.streak > 0 && summary.newestBadMs < trialMs) {
             return this.eject(upstream, ledger, `failed its trial; before: ${phase.reason}`, now);
         }
         if ((summary?.ok ?? 0) >= trialSuccesses) {
--- a/src/detection/evidence.ts
+++ b/src/detection/evidence.ts
@@ -24,8 +24,10 @@
     bad: z.number(),
     /** Attempts under way that are overdue. */
     overdue: z.number(),
-    /** The age of the youngest of those, in milliseconds; 0 where there is none. */
-    newestOverdueMs: z.number(),
+    /** Attempts that went wrong since one ended well, those under way that are overdue included. */
+    streak: z.number(),
+    /** Milliseconds since the youngest attempt of the streak was sent; 0 where there is none. */
+    newestBadMs: z.number(),
     /** Milliseconds since an attempt last ended well. */
     okAgeMs: z.number(),
 });
@@ -42,7 +44,9 @@
 interface History {
     buckets: Bucket[];
     okAt: number;
+    /** Attempts that ended badly since one ended well, and when the youngest of them was sent. */
     badInARow: number;
+    newestBadSentAt: number;
 }
 
 /** Options of the evidence. */
@@ -81,8 +85,9 @@
     recordEnd(target: pool.Upstream, attempt: pool.AttemptRecord, outcome: pool.AttemptOutcome, now: number): void {
         const ageMs = (attempt.answeredAt ?? now) - attempt.startedAt;
         const isOverdue = ageMs >= this.getOverdueMs(target, attempt.route);
-        // Shedding is load, and a caller that leaves says nothing, unless it had waited for too long.
-        if (outcome === "shed" || (outcome === "cancelled" && !isOverdue)) {
+        // Shedding is load. A caller that leaves, or whose deadline passes, says nothing unless it had waited for too long.
+        const isCutShort = (outcome === "cancelled" || outcome === "timedOut") && !isOverdue;
+        if (outcome === "shed" || isCutShort) {
             return;
         }
         const history = this.getHistory(target);
@@ -95,6 +100,7 @@
         }
         bucket.bad += 1;
         history.badInARow += 1;
+        history.newestBadSentAt = Math.max(history.newestBadSentAt, attempt.startedAt);
     }
 
     /**
@@ -129,12 +135,15 @@
         if (ok + bad + overdueAges.length === 0) {
             return undefined;
         }
+        const endedBad = now - history.newestBadSentAt < windowMs ? history.badInARow : 0;
+        const streak = endedBad + overdueAges.length;
         return {
             upstream: target.getId(),
             ok,
             bad,
             overdue: overdueAges.length,
-            newestOverdueMs: Math.round(overdueAges.length === 0 ? 0 : Math.min(...overdueAges)),
+            streak,
+            newestBadMs: Math.round(streak === 0 ? 0 : Math.min(now - history.newestBadSentAt, ...overdueAges)),
             okAgeMs: Math.round(Math.min(maximumAgeMs, now - history.okAt)),
         };
     }
@@ -146,7 +155,7 @@
     }
 
     private getHistory(target: pool.Upstream): History {
-        const known = this.histories.get(target) ?? { buckets: [], okAt: -Infinity, badInARow: 0 };
+        const known = this.histories.get(target) ?? { buckets: [], okAt: -Infinity, badInARow: 0, newestBadSentAt: -Infinity };
         this.histories.set(target, known);
         return known;
     }
--- a/src/detection/judge.ts
+++ b/src/detection/judge.ts
@@ -6,8 +6,10 @@
 const minimumBadRatio = 0.4;
 /** Bad attempts that the ratio needs. */
 const minimumBad = 3;
-/** Overdue attempts that a stall needs. */
-const minimumOverdue = 2;
+/** Attempts gone wrong with no success after them that a stall needs. */
+const minimumStreak = 2;
+/** Attempts gone wrong in a row that an ejection needs where each instance counts errors alone. */
+const consecutiveErrors = 5;
 /** How many times worse than the rest of its service an outlier is. */
 const relativeFactor = 2;
 /** Where more than this part of the active upstreams shows symptoms, the service as a whole is slow. */
@@ -38,7 +40,8 @@
     readonly ok: number;
     readonly bad: number;
     readonly overdue: number;
-    readonly newestOverdueMs: number;
+    readonly streak: number;
+    readonly newestBadMs: number;
     readonly okAgeMs: number;
 }
 
@@ -81,20 +84,33 @@
     }));
 }
 
+/**
+ * Judges by errors in a row alone, as proxies commonly do; the baseline of the measurements.
+ * @param entries - This instance's own evidence.
+ */
+export function createConsecutiveJudgements(entries: readonly evidence.EvidenceEntry[]): ReadonlyMap<string, Judgement> {
+    return new Map(entries.map((entry): [string, Judgement] => {
+        const summary = createSummary([{ ...entry, instanceId: "", failureDomain: "" }]);
+        const isOutlier = entry.streak - entry.overdue >= consecutiveErrors;
+        return [entry.upstream, isOutlier ? { kind: "outlier", summary, reason: `${entry.streak} errors in a row` } : { kind: "healthy", summary }];
+    }));
+}
+
 function createSummary(seen: readonly Observation[]): Summary {
-    const overdueAges = seen.filter(entry => entry.overdue > 0).map(entry => entry.newestOverdueMs);
+    const badAges = seen.filter(entry => entry.streak > 0).map(entry => entry.newestBadMs);
     return {
         ok: seen.reduce((sum, entry) => sum + entry.ok, 0),
         bad: seen.reduce((sum, entry) => sum + entry.bad, 0),
         overdue: seen.reduce((sum, entry) => sum + entry.overdue, 0),
-        newestOverdueMs: overdueAges.length === 0 ? 0 : Math.min(...overdueAges),
+        streak: seen.reduce((sum, entry) => sum + entry.streak, 0),
+        newestBadMs: badAges.length === 0 ? 0 : Math.min(...badAges),
         okAgeMs: Math.min(...seen.map(entry => entry.okAgeMs)),
     };
 }
 
-/** Returns whether nothing has ended well since the youngest overdue request was sent. */
+/** Returns whether nothing has ended well since the youngest attempt that went wrong was sent. */
 function isStalled(summary: Summary): boolean {
-    return summary.overdue >= minimumOverdue && summary.okAgeMs >= summary.newestOverdueMs;
+    return summary.streak >= minimumStreak && summary.okAgeMs >= summary.newestBadMs;
 }
 
 function getBadRatio({ ok, bad, overdue }: Pick<Summary, "ok" | "bad" | "overdue">): number {
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -103,6 +103,8 @@
             service.deadlineHeader,
             String(remainingMs),
             ...options.extraHeaders ?? [],
+            "Via",
+            `1.1 ${shared.identity.instanceId}`,
             "Connection",
             options.agent === undefined ? "close" : "keep-alive",
         ],
--- a/test/integration.answers.test.ts
+++ b/test/integration.answers.test.ts
@@ -85,10 +85,12 @@
     });
 
     await t.test("a cut answer without a validator is never a short whole one", async t => {
-        await setAll({ cutAfterBytes: 10 });
-        const answers = await Promise.allSettled(Array.from({ length: 10 }, () => processes.sendRequest(`${url}/normal/x`)));
-        await setAll({ cutAfterBytes: 0 });
-        t.notOk(answers.some(answer => answer.status === "fulfilled" && answer.value.isWhole && answer.value.status === 200));
+        for (const isChunked of [false, true]) {
+            await setAll({ cutAfterBytes: 10, isChunked });
+            const answers = await Promise.allSettled(Array.from({ length: 10 }, () => processes.sendRequest(`${url}/normal/x`)));
+            await setAll({ cutAfterBytes: 0, isChunked: false });
+            t.notOk(answers.some(answer => answer.status === "fulfilled" && answer.value.isWhole && answer.value.status === 200), isChunked ? "in chunks" : "with a length");
+        }
     });
 
     await t.test("a slow reader gets everything", async t => {
--- /dev/null
+++ b/test/integration.configuration.test.ts
@@ -0,0 +1,117 @@
+/** A configuration once accepted is in force everywhere within seconds and never reverts, under failures of the store and of instances. */
+
+import tap from "tap";
+import * as configurations from "./harness/configurations.js";
+import * as fleet from "./harness/fleet.js";
+import * as processes from "./harness/processes.js";
+import * as standIns from "./harness/standIns.js";
+
+const staleAfterMs = 1_500;
+const inForceTargetMs = 5_000;
+
+void tap.test("configuration under failure", async t => {
+    const store = await standIns.startStore();
+    const [upstream] = await standIns.startUpstreams(1);
+    const flags = { "stale-after-ms": staleAfterMs, "store-timeout-ms": 600, "suspect-after-ms": 1_000, "dead-after-ms": 60_000 };
+    const storeUrl = `http://${store.getAddress()}`;
+    const instances = [...await fleet.startFleet(["north", "middle", "south"], storeUrl, flags)];
+    const [first, second, third] = instances as [fleet.Instance, fleet.Instance, fleet.Instance];
+    t.teardown(() => Promise.all([store.process, upstream!.process, ...instances.map(instance => instance.process)].map(started => started.stop())));
+    const createDocument = (retiredFeatures: readonly string[] = []) => configurations.createTestConfiguration({ upstreams: { "north-0": upstream!.getAddress() }, retiredFeatures });
+    const apply = (instance: fleet.Instance, document: object, more: object = {}) => instance.sendCall("Apply", { configurationJson: JSON.stringify(document), waitMs: 5_000, ...more });
+    const waitForVersion = (version: number) => processes.waitFor(`version ${version} is in force everywhere`, async () => (await Promise.all(instances.map(instance => instance.getVersion()))).every(found => found === version));
+    const getStoredVersion = async () => {
+        const { values } = await store.getState<{ readonly values: Record<string, string>; }>();
+        return (JSON.parse(values["/agatebend/configuration/head"]!) as { readonly version: number; }).version;
+    };
+    await fleet.applyConfiguration(first, createDocument());
+
+    await t.test("two operators at once", async t => {
+        const answers = await Promise.all([apply(first, createDocument(["a"]), { baseVersion: 1 }), apply(second, createDocument(["b"]), { baseVersion: 1 })]);
+        t.strictSame(answers.map(answer => answer.status).sort(), [200, 409]);
+        t.match(answers.find(answer => answer.status === 409)?.json.message, "version 2", "the loser is told what it lost to");
+        await waitForVersion(2);
+    });
+
+    await t.test("two operators retire features at once", async t => {
+        const answers = await Promise.all(instances.map((instance, index) => instance.sendCall("Retire", { features: [`feature-${index}`] })));
+        t.strictSame(answers.map(answer => answer.status), [200, 200, 200]);
+        await waitForVersion(5);
+        const { json } = await third.sendCall("Get", { section: "retired" });
+        t.ok(["feature-0", "feature-1", "feature-2"].every(feature => String(json.json).includes(feature)));
+    });
+
+    await t.test("a swap takes effect and its reply is lost", async t => {
+        await store.setBehaviour({ lostReplies: 1, lostKey: "chunks" });
+        t.match(await apply(first, createDocument(["lost-chunk"])), { status: 200, json: { version: "6" } }, "a chunk's");
+        await store.setBehaviour({ lostReplies: 1, lostKey: "head" });
+        t.match(await apply(first, createDocument(), { changeId: "lost" }), { status: 200, json: { version: "7" } });
+        t.match(await apply(second, createDocument(["other"]), { changeId: "lost" }), { status: 200, json: { version: "7" } }, "the same change again gets the first answer");
+        await waitForVersion(7);
+    });
+
+    await t.test("a slow store", async t => {
+        await store.setBehaviour({ delayMs: 300 });
+        const startedAt = performance.now();
+        t.match(await apply(second, createDocument(["slow"])), { status: 200, json: { version: "8", instancesInForce: 3 } });
+        t.ok(performance.now() - startedAt < inForceTargetMs, "in force everywhere within 5 s");
+        await store.setBehaviour({ delayMs: 0 });
+    });
+
+    await t.test("the store is restored to an older state", async t => {
+        await store.setBehaviour({ action: "backup" });
+        await fleet.applyConfiguration(first, createDocument(["reading"]));
+        await store.setBehaviour({ action: "restore" });
+        await processes.waitFor("the store holds version 9 again", async () => await getStoredVersion() === 9);
+        await waitForVersion(9);
+        t.equal((await first.send("/read/1")).status, 410, "the retired feature stays retired");
+        await fleet.applyConfiguration(second, createDocument());
+        await waitForVersion(10);
+    });
+
+    await t.test("a change right after a restore, before the store is mended", async t => {
+        await store.setBehaviour({ action: "backup" });
+        await fleet.applyConfiguration(first, createDocument(["x"]));
+        await store.setBehaviour({ action: "restore" });
+        t.match(await apply(second, createDocument(["y"])), { status: 200, json: { version: "12" } }, "the version rises above the one in force");
+        await waitForVersion(12);
+    });
+
+    await t.test("the store is away", async t => {
+        await store.setBehaviour({ isAway: true });
+        t.match(await apply(first, createDocument()), { status: 503, json: { message: /not accepted/ } }, "a change is refused with a clear error");
+        const late = await fleet.startInstance({ id: "i4", failureDomain: "south", storeUrl, seeds: [first.ports.peer], flags });
+        instances.push(late);
+        await processes.waitFor("an instance that starts meanwhile has the configuration", async () => await late.getVersion() === 12);
+        await new Promise(resolve => setTimeout(resolve, staleAfterMs * 2));
+        t.equal((await late.send("/normal/1")).status, 200, "it serves");
+        t.equal((await first.send("/normal/1")).status, 200, "so do the others");
+        await store.setBehaviour({ isAway: false });
+    });
+
+    await t.test("an instance is frozen while a feature is retired", async t => {
+        third.process.sendSignal("SIGSTOP");
+        const retired = await first.sendCall("Retire", { features: ["reading"] });
+        t.equal(retired.status, 200);
+        const pending = Array.from({ length: 5 }, () => third.send("/read/1"));
+        await new Promise(resolve => setTimeout(resolve, staleAfterMs * 2));
+        third.process.sendSignal("SIGCONT");
+        const statuses = (await Promise.all(pending)).map(answer => answer.status);
+        t.notOk(statuses.includes(200), `what had waited is refused: ${statuses.join(" ")}`);
+        await waitForVersion(13);
+    });
+
+    await t.test("an instance hears neither the store nor half of the others", async t => {
+        await store.setBehaviour({ isAway: true });
+        const others = instances.filter(instance => instance !== second);
+        others.forEach(instance => instance.process.sendSignal("SIGSTOP"));
+        const refused = await processes.waitFor("it refuses", async () => {
+            const answer = await second.send("/normal/1");
+            return answer.status === 503 ? answer : undefined;
+        });
+        t.match(refused.headers, { "x-agatebend-error": "configurationStale", "x-agatebend-outcome": "not-executed" });
+        others.forEach(instance => instance.process.sendSignal("SIGCONT"));
+        await store.setBehaviour({ isAway: false });
+        await processes.waitFor("it serves again", async () => (await second.send("/normal/1")).status === 200);
+    });
+});
--- a/test/standins/store.ts
+++ b/test/standins/store.ts
@@ -34,8 +34,8 @@
     const leases = new Map<string, number>();
     const watches = new Set<Watch>();
     const history: { readonly key: string; readonly pair: Pair; }[] = [];
-    /** `lostReplies` swaps take effect and their replies are lost. */
-    const behaviour = { isAway: false, delayMs: 0, lostReplies: 0 };
+    /** `lostReplies` swaps of keys that contain `lostKey` take effect and their replies are lost. */
+    const behaviour = { isAway: false, delayMs: 0, lostReplies: 0, lostKey: "" };
     const calls: Record<string, number> = {};
 
     const header = () => ({ revision: String(revision) });
@@ -98,7 +98,7 @@
             },
         };
         const text = JSON.stringify(answers[path]?.() ?? {});
-        if (path === "/v3/kv/txn" && behaviour.lostReplies > 0) {
+        if (path === "/v3/kv/txn" && behaviour.lostReplies > 0 && decode(body.compare![0]!.key).includes(behaviour.lostKey)) {
             behaviour.lostReplies -= 1;
             response.destroy();
             return;
--- a/test/standins/upstream.ts
+++ b/test/standins/upstream.ts
@@ -18,12 +18,16 @@
     isDraining: boolean;
     /** Bytes after which each body breaks off; 0 for never. */
     cutAfterBytes: number;
+    /** Answers of unknown length, in chunks. */
+    isChunked: boolean;
     /** Orders run, and then the connection breaks instead of an answer. */
     losesAnswers: boolean;
     /** Sheds everything. */
     shedsAll: boolean;
     /** Changes the entity tag of files. */
     fileVersion: number;
+    /** Instances whose requests never arrive, as over a cut link; separated by commas. */
+    cutFrom: string;
     /** Milliseconds between two blocks of a file. */
     blockDelayMs: number;
 }
@@ -45,10 +49,12 @@
 
 /** Starts an upstream; returns its ports. */
 export async function startUpstream() {
-    const behaviour: UpstreamBehaviour = { slots: 3, serviceMs: 10, isStalled: false, errorPart: 0, isDraining: false, cutAfterBytes: 0, losesAnswers: false, shedsAll: false, fileVersion: 1, blockDelayMs: 0 };
+    const behaviour: UpstreamBehaviour = { slots: 3, serviceMs: 10, isStalled: false, errorPart: 0, isDraining: false, cutAfterBytes: 0, losesAnswers: false, isChunked: false, shedsAll: false, fileVersion: 1, cutFrom: "", blockDelayMs: 0 };
     const executions: Record<string, number> = {};
     const counts = { served: 0, shed: 0, arrived: 0, cancelled: 0, arrivedWhileDraining: 0, health: 0, maximumInFlight: 0 };
     const deadlines: number[] = [];
+    /** When each instance last sent work here, in milliseconds since the epoch; the newest last. */
+    const arrivals: { readonly via: string; readonly at: number; }[] = [];
     let inFlight = 0;
     const sendFile = (request: http.IncomingMessage, response: http.ServerResponse, length: number) => {
         const entityTag = `"${length}-${behaviour.fileVersion}"`;
@@ -113,7 +119,7 @@
         }
         const text = JSON.stringify({ method: request.method, path: request.url, echo: request.headers["x-echo"], bytes: body.length });
         if (behaviour.cutAfterBytes > 0) {
-            response.writeHead(200, { "content-length": text.length });
+            response.writeHead(200, behaviour.isChunked ? {} : { "content-length": text.length });
             response.write(text.slice(0, behaviour.cutAfterBytes), () => response.destroy());
             return;
         }
@@ -126,7 +132,12 @@
             response.end("ok\n");
             return;
         }
+        if (behaviour.cutFrom !== "" && behaviour.cutFrom.split(",").some(id => id !== "" && request.headers.via === `1.1 ${id}`)) {
+            return;
+        }
         counts.arrived += 1;
+        arrivals.push({ via: String(request.headers.via ?? ""), at: Date.now() });
+        arrivals.splice(0, arrivals.length - 2_000);
         if (behaviour.isDraining) {
             counts.arrivedWhileDraining += 1;
             response.setHeader("x-draining", "1");
@@ -152,7 +163,7 @@
     });
     const port = await control.startListening(server);
     const controlPort = await control.startControl({
-        getState: () => ({ ...counts, executions, inFlight, deadlines, behaviour }),
+        getState: () => ({ ...counts, executions, inFlight, deadlines, arrivals, behaviour }),
         setBehaviour: change => void Object.assign(behaviour, change),
     });
     return { port, controlPort };
