Share slots by parts computed from all instances' demands; refuse bad input of every kind

Cause: 13 to 17 instances share upstreams of 2 or 3 slots, and each by itself collides with the others. Change: instances publish their demand by service and rank; each computes the same parts (guarantees, then urgency, max-min within a rank) and the same upstreams for them. Settings queueing and slot-sharing keep the baselines for measurements. Cause: retire wrote names to the store that the schema refuses, so that an accepted version could be adopted nowhere; unknown RPC fields were ignored; a transfer-encoding other than chunked reached the router.

--- a/bench/detection.bench.ts
+++ b/bench/detection.bench.ts
@@ -18,19 +18,19 @@
     /** The place of the upstream that fails; undefined where none should be ejected. */
     readonly sick: number | undefined;
     readonly durationMs: number;
-    readonly begin: (running: deployments.RunningDeployment, deployment: deployments.Deployment) => Promise<void>;
-    readonly end: (running: deployments.RunningDeployment) => Promise<void>;
+    readonly start: (running: deployments.RunningDeployment, deployment: deployments.Deployment) => Promise<void>;
+    readonly stop: (running: deployments.RunningDeployment) => Promise<void>;
     readonly extraRequestsPerSecond?: number;
 }
 
 function createChange(name: string, sick: number, change: object, undo: object): Scenario {
-    return { name, sick, durationMs: scenarioMs, begin: running => running.upstreams[sick]!.setBehaviour(change), end: running => running.upstreams[sick]!.setBehaviour(undo) };
+    return { name, sick, durationMs: scenarioMs, start: running => running.upstreams[sick]!.setBehaviour(change), stop: running => running.upstreams[sick]!.setBehaviour(undo) };
 }
 
 const setAll = (running: deployments.RunningDeployment, change: object) => Promise.all(running.upstreams.map(started => started.setBehaviour(change))).then(() => {});
 
 const scenarios: readonly Scenario[] = [
-    { name: "nothing fails", sick: undefined, durationMs: scenarioMs, begin: async () => {}, end: async () => {} },
+    { name: "nothing fails", sick: undefined, durationMs: scenarioMs, start: async () => {}, stop: async () => {} },
     createChange("stall, health good", 1, { isStalled: true }, { isStalled: false }),
     createChange("ten times slower", 2, { serviceMs: serviceMs * 10 + 50 }, { serviceMs }),
     createChange("errors on real work", 3, { errorPart: 0.9 }, { errorPart: 0 }),
@@ -38,22 +38,22 @@
         name: "flapping, 1.5 s each way",
         sick: 4,
         durationMs: 9_000,
-        begin: async running => {
+        start: async running => {
             for (let flap = 0; flap < 6; flap += 1) {
                 setTimeout(() => void running.upstreams[4]!.setBehaviour({ isStalled: flap % 2 === 0 }), flap * 1_500);
             }
         },
-        end: running => running.upstreams[4]!.setBehaviour({ isStalled: false }),
+        stop: running => running.upstreams[4]!.setBehaviour({ isStalled: false }),
     },
     {
         name: "cut from one failure domain",
         sick: undefined,
         durationMs: scenarioMs,
-        begin: (running, deployment) => running.upstreams[5]!.setBehaviour({ cutFrom: running.instances.filter(instance => instance.failureDomain === deployment.domains[0]).map(instance => instance.id).join(",") }),
-        end: running => running.upstreams[5]!.setBehaviour({ cutFrom: "" }),
+        start: (running, deployment) => running.upstreams[5]!.setBehaviour({ cutFrom: running.instances.filter(instance => instance.failureDomain === deployment.domains[0]).map(instance => instance.id).join(",") }),
+        stop: running => running.upstreams[5]!.setBehaviour({ cutFrom: "" }),
     },
-    { name: "the whole service four times slower", sick: undefined, durationMs: scenarioMs, begin: running => setAll(running, { serviceMs: serviceMs * 4 }), end: running => setAll(running, { serviceMs }) },
-    { name: "bulk flood", sick: undefined, durationMs: scenarioMs, extraRequestsPerSecond: 900, begin: running => setAll(running, { serviceMs: 80 }), end: running => setAll(running, { serviceMs }) },
+    { name: "the whole service four times slower", sick: undefined, durationMs: scenarioMs, start: running => setAll(running, { serviceMs: serviceMs * 4 }), stop: running => setAll(running, { serviceMs }) },
+    { name: "bulk flood", sick: undefined, durationMs: scenarioMs, extraRequestsPerSecond: 900, start: running => setAll(running, { serviceMs: 80 }), stop: running => setAll(running, { serviceMs }) },
 ];
 
 interface EjectionEvent {
@@ -113,9 +113,9 @@
     });
     await new Promise(resolve => setTimeout(resolve, 1_000));
     const failedAt = Date.now();
-    await scenario.begin(running, deployment);
+    await scenario.start(running, deployment);
     await loading;
-    await scenario.end(running);
+    await scenario.stop(running);
     const events = listEvents(running).slice(eventsBefore);
     const wrong = events.filter(event => event.isEjection && event.upstream !== `u${scenario.sick}`).length;
     let detected = "-";
--- /dev/null
+++ b/src/admission/pressure.ts
@@ -0,0 +1,145 @@
+/** Tells the other instances what this one asks of each service, and takes its part of the slots while they are short. */
+
+import { z } from "zod";
+import type * as configuration from "../configuration/index.js";
+import type * as context from "../kernel/context.js";
+import type * as peers from "../peers/index.js";
+import type * as pool from "../pool/index.js";
+import * as allocation from "./allocation.js";
+import type * as types from "./types.js";
+
+/** Milliseconds between two looks at the demand. */
+const lookIntervalMs = 250;
+/** The most slot time that may be saved up or owed, in milliseconds. */
+const maximumCreditMs = 500;
+/** Demand is published where it has changed by more than this part. */
+const publishedChange = 0.2;
+const topic = "pressure";
+
+/** Demand by service and rank. */
+const pressureSchema = z.record(z.string(), z.array(z.number().min(0)).max(16));
+
+interface Credit {
+    allocation: allocation.Allocation;
+    readonly creditMs: number[];
+    updatedAt: number;
+    home: ReadonlySet<string>;
+}
+
+/** Options of the pressure. */
+export interface CreatePressureOptions {
+    readonly context: context.Context;
+    readonly mesh: peers.Mesh;
+    readonly pool: pool.Pool;
+    readonly configuration: configuration.ConfigurationService;
+    /** Returns this instance's demand by service. */
+    readonly getDemand: () => ReadonlyMap<string, readonly types.RankDemand[]>;
+}
+
+const noHome: ReadonlySet<string> = new Set();
+
+/** Shares slots between instances by their demands. */
+export class Pressure implements types.Allowance {
+    private readonly credits = new Map<string, Credit>();
+    private published: Readonly<Record<string, readonly number[]>> = {};
+
+    constructor(private readonly options: CreatePressureOptions) {}
+
+    /** Begins to look at the demand. */
+    start(): void {
+        this.options.context.loop.scheduleRepeatedly(lookIntervalMs, () => this.runLook());
+    }
+
+    /** Returns whether a rank may take another slot of a service. */
+    readonly isStartAllowed = (service: string, rankIndex: number, inFlight: number, now: number): boolean => {
+        const credit = this.credits.get(service);
+        if (credit === undefined) {
+            return true;
+        }
+        const part = credit.allocation.byRank[rankIndex] ?? 0;
+        const elapsedMs = Math.max(0, now - credit.updatedAt);
+        const credited = Math.min(maximumCreditMs, (credit.creditMs[rankIndex] ?? 0) + elapsedMs * (part - inFlight));
+        return inFlight < Math.floor(part) || (inFlight < Math.ceil(part) && credited > 0);
+    };
+
+    /** Returns the identifiers of the upstreams whose slots are lent to this instance. */
+    readonly getHome = (service: string): ReadonlySet<string> => this.credits.get(service)?.home ?? noHome;
+
+    /** Returns the parts in force for the dump. */
+    getDump(): unknown {
+        return Object.fromEntries([...this.credits].map(([service, { allocation: part, home }]) => [service, { ...part, home: [...home] }]));
+    }
+
+    private runLook(): void {
+        const { context: { settings }, configuration: configurations } = this.options;
+        const demand = this.options.getDemand();
+        this.publishDemand(demand);
+        const document = configurations.getCurrent()?.document;
+        if (settings.slotSharing !== "credits" || document === undefined) {
+            return;
+        }
+        const peersDemand = this.listPeerDemand();
+        const shares = document.ranks.map(rank => rank.guaranteedShare);
+        for (const servicePool of this.options.pool.listServicePools()) {
+            this.updateCredit(servicePool, shares, demand.get(servicePool.name) ?? [], peersDemand);
+        }
+    }
+
+    private updateCredit(servicePool: pool.ServicePool, shares: readonly number[], own: readonly types.RankDemand[], others: ReadonlyMap<string, Readonly<Record<string, readonly number[]>>>): void {
+        const { context: { clock, identity } } = this.options;
+        const now = clock.getNow();
+        const usable = servicePool.upstreams.filter(target => !target.isLeaving(now) && target.routability.kind !== "ejected");
+        const slots = usable.length * servicePool.definition.slots;
+        const instances = [
+            { instanceId: identity.instanceId, demand: own.map(({ queued, inFlight }) => Math.min(queued + inFlight, slots)) },
+            ...[...others].map(([instanceId, byService]) => ({ instanceId, demand: (byService[servicePool.name] ?? []).map(asked => Math.min(asked, slots)) })),
+        ];
+        const allocated = allocation.computeAllocations({ slots, shares, instances })?.get(identity.instanceId);
+        if (allocated === undefined) {
+            this.credits.delete(servicePool.name);
+            return;
+        }
+        const before = this.credits.get(servicePool.name);
+        const elapsedMs = before === undefined ? 0 : now - before.updatedAt;
+        const creditMs = shares.map((_, rank) => {
+            const change = elapsedMs * ((before?.allocation.byRank[rank] ?? 0) - (own[rank]?.inFlight ?? 0));
+            return Math.max(-maximumCreditMs, Math.min(maximumCreditMs, (before?.creditMs[rank] ?? 0) + change));
+        });
+        this.credits.set(servicePool.name, { allocation: allocated, creditMs, updatedAt: now, home: computeHome(allocated, usable) });
+    }
+
+    private publishDemand(demand: ReadonlyMap<string, readonly types.RankDemand[]>): void {
+        const busy = [...demand].filter(([, ranks]) => ranks.some(({ queued, inFlight }) => queued + inFlight > 0));
+        const current = Object.fromEntries(busy.map(([service, ranks]) => [service, ranks.map(({ queued, inFlight }) => queued + inFlight)]));
+        if (hasChanged(this.published, current)) {
+            this.published = current;
+            this.options.mesh.setRegister(topic, current);
+        }
+    }
+
+    private listPeerDemand(): ReadonlyMap<string, Readonly<Record<string, readonly number[]>>> {
+        const { mesh, context: { identity } } = this.options;
+        const alive = new Set(mesh.listMembers().filter(member => member.state !== "suspect" && member.instanceId !== identity.instanceId).map(member => member.instanceId));
+        const pairs = [...mesh.getRegisters(topic)].filter(([origin]) => alive.has(origin)).map(([origin, body]) => [origin, pressureSchema.safeParse(body).data ?? {}] as const);
+        return new Map(pairs);
+    }
+}
+
+/** Returns the upstreams that an allocation's slots fall on, where slot n belongs to upstream n modulo their number. */
+function computeHome(allocated: allocation.Allocation, usable: readonly pool.Upstream[]): ReadonlySet<string> {
+    const width = allocated.byRank.reduce((sum, part) => sum + part, 0);
+    const first = Math.floor(allocated.firstSlot);
+    const last = Math.ceil(allocated.firstSlot + width);
+    const slots = Array.from({ length: Math.max(0, last - first) }, (_, index) => first + index);
+    return new Set(slots.map(slot => usable[slot % usable.length]!.getId()));
+}
+
+function hasChanged(before: Readonly<Record<string, readonly number[]>>, current: Readonly<Record<string, readonly number[]>>): boolean {
+    const services = new Set([...Object.keys(before), ...Object.keys(current)]);
+    return [...services].some(service => {
+        const old = before[service] ?? [];
+        const fresh = current[service] ?? [];
+        const ranks = Math.max(old.length, fresh.length);
+        return Array.from({ length: ranks }, (_, rank) => Math.abs((fresh[rank] ?? 0) - (old[rank] ?? 0)) > publishedChange * (old[rank] ?? 0)).some(Boolean);
+    });
+}
--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -1,6 +1,7 @@
 /** Queues a service's requests by rank and hands them upstreams as these have room. */
 
 import { err, ok, type Result } from "neverthrow";
+import { match } from "ts-pattern";
 import type * as configuration from "../configuration/index.js";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
@@ -14,7 +15,7 @@
 /** How many waiting requests of one rank are tried when the first ones may not go to the free upstreams. */
 const lookAhead = 8;
 /** The part of the usual latency that must still be left before the deadline. */
-const minimumTimeFactor = 1;
+const minimumTimeFactor = 1.5;
 
 /** Options of a scheduler. */
 export interface CreateSchedulerOptions {
@@ -29,6 +30,7 @@
     readonly request: types.SlotRequest;
     readonly resolve: (result: Result<types.Slot, errors.FleetError>) => void;
     readonly cancelTimer: loop.Cancel;
+    readonly queuedAt: number;
 }
 
 /** The queues of one service at this instance. */
@@ -68,6 +70,7 @@
             const onAbort = () => remove(request.getAbortError());
             const waiting: Waiting = {
                 request,
+                queuedAt: now,
                 resolve: result => {
                     request.signal.removeEventListener("abort", onAbort);
                     resolve(result);
@@ -132,7 +135,7 @@
 
     private dispatchOne(): boolean {
         const now = this.options.context.clock.getNow();
-        for (const rank of this.ledger.listOrder(now)) {
+        for (const rank of this.listOrder(now)) {
             this.removeHopeless(rank, now);
             if (!this.options.allowance.isStartAllowed(this.options.service, rank, this.ledger.getInFlight(rank), now)) {
                 continue;
@@ -144,6 +147,15 @@
         return false;
     }
 
+    private listOrder(now: number): readonly number[] {
+        const ranks = this.queues.map((_, rank) => rank);
+        return match(this.options.context.settings.queueing)
+            .with("shares", () => this.ledger.listOrder(now))
+            .with("strict", () => ranks)
+            .with("fifo", () => ranks.sort((a, b) => (this.queues[a]![0]?.queuedAt ?? Infinity) - (this.queues[b]![0]?.queuedAt ?? Infinity)))
+            .exhaustive();
+    }
+
     private startFirst(rank: number, now: number): boolean {
         const servicePool = this.options.pool.getServicePool(this.options.service);
         const queue = this.queues[rank]!;
--- a/src/callers/handler.ts
+++ b/src/callers/handler.ts
@@ -99,7 +99,7 @@
             return;
         }
         const compiled = this.options.configuration.getCurrent();
-        const refusal = this.getRefusal(request, compiled);
+        const refusal = checkEncoding(request) ?? this.getRefusal(request, compiled);
         if (compiled === undefined || refusal !== undefined) {
             await this.rejectRequest(request, response, keyText.value, refusal ?? errors.createError("notConfigured"));
             return;
@@ -213,6 +213,13 @@
     }
 }
 
+/** Refuses an encoding whose end two servers might see in different places. */
+function checkEncoding(request: http.IncomingMessage): errors.FleetError | undefined {
+    const encoding = request.headers["transfer-encoding"];
+    const isGood = encoding === undefined || encoding.toLowerCase() === "chunked";
+    return isGood ? undefined : errors.createError("badRequest", `the header transfer-encoding must be chunked or absent, not ${JSON.stringify(encoding.slice(0, 40))}`);
+}
+
 /** Creates a signal that is aborted when the caller's connection closes before the answer is complete. */
 function createCallerSignal(response: http.ServerResponse): AbortSignal {
     const controller = new AbortController();
--- a/src/configuration/configurationService.ts
+++ b/src/configuration/configurationService.ts
@@ -108,7 +108,7 @@
         let last: Result<ChangeResult, errors.FleetError> = err(errors.createError("notConfigured"));
         for (let attempt = 0; attempt < editAttempts; attempt += 1) {
             const current = this.state.getCurrent();
-            const edited = current === undefined ? err(errors.createError("notConfigured")) : edit(current.document);
+            const edited = current === undefined ? err(errors.createError("notConfigured")) : edit(current.document).andThen(checkDocument.checkDocument);
             if (current === undefined || edited.isErr()) {
                 return edited.isErr() ? err(edited.error) : last;
             }
--- a/src/operators/operatorServer.ts
+++ b/src/operators/operatorServer.ts
@@ -35,6 +35,7 @@
         const adapter = connectNodeAdapter({
             routes: router => router.service(operatorPb.OperatorService, options.service.getImplementation()),
             readMaxBytes: maximumMessageBytes,
+            jsonOptions: { ignoreUnknownFields: false },
             fallback: (request, response) => void this.answerPlain(request as http.IncomingMessage, response as http.ServerResponse),
         });
         const handle = (request: http.IncomingMessage, response: http.ServerResponse) => {
--- a/src/pool/chooseUpstream.ts
+++ b/src/pool/chooseUpstream.ts
@@ -22,7 +22,7 @@
 
 /**
  * Chooses an upstream with room; undefined where there is none.
- * @remarks An assigned trial comes first; then those in good standing, lent ones first, by the lesser load of two;
+ * @remarks An assigned trial comes first; then those in good standing, the least loaded of those lent here, then the lesser load of two;
  * an avoided upstream only where no other has room and it works on nothing.
  */
 export function chooseUpstream(options: ChooseUpstreamOptions): upstream.Upstream | undefined {
@@ -33,7 +33,7 @@
     }
     const preferred = open.filter(candidate => !candidate.isAvoided(options.now));
     const lent = preferred.filter(candidate => options.home.has(candidate.getId()));
-    return chooseLesserOfTwo(lent, options.randomness)
+    return chooseLeast(lent)
         ?? chooseLesserOfTwo(preferred, options.randomness)
         ?? chooseLesserOfTwo(open.filter(candidate => candidate.getInFlight() === 0), options.randomness);
 }
@@ -54,6 +54,10 @@
         .exhaustive();
 }
 
+function chooseLeast(candidates: readonly upstream.Upstream[]): upstream.Upstream | undefined {
+    return candidates.reduce<upstream.Upstream | undefined>((least, candidate) => least === undefined || candidate.getInFlight() < least.getInFlight() ? candidate : least, undefined);
+}
+
 function chooseLesserOfTwo(candidates: readonly upstream.Upstream[], random: randomness.Randomness): upstream.Upstream | undefined {
     const draw = () => candidates[Math.floor(random.getFraction() * candidates.length)];
     const first = draw();
--- a/src/settings/definitions.ts
+++ b/src/settings/definitions.ts
@@ -72,6 +72,8 @@
     frameBytes: createCount(4_096, 67_108_864, 4_194_304).describe("The largest frame between peers, in bytes."),
     staleAfterMs: createCount(500, 86_400_000, 5_000).describe("Time without the store and without half of the members, after which requests are refused, in milliseconds."),
 
+    queueing: z.enum(["shares", "strict", "fifo"]).default("shares").describe("Which waiting request is next: ranks by urgency with guaranteed shares, ranks by urgency alone, or the oldest."),
+    slotSharing: z.enum(["credits", "random"]).default("credits").describe("How instances share upstreams that are short of slots: by parts computed from all instances' demands, or each by itself."),
     detection: z.enum(["shared", "local", "consecutive"]).default("shared").describe("How failing upstreams are detected: by the evidence of all instances, by this instance's alone, or by errors in a row."),
 
     logLevel: z.enum(logger.logLevels).default("info").describe("The least severe log lines that are written."),
