--- a/src/admission/pressure.ts
+++ b/src/admission/pressure.ts
@@ -81,11 +81,11 @@
         const peersDemand = this.listPeerDemand();
         const shares = document.ranks.map(rank => rank.guaranteedShare);
         for (const servicePool of this.options.pool.listServicePools()) {
-            this.updateCredit(servicePool, shares, demand.get(servicePool.name) ?? [], peersDemand);
+            this.setCredit(servicePool, shares, demand.get(servicePool.name) ?? [], peersDemand);
         }
     }
 
-    private updateCredit(servicePool: pool.ServicePool, shares: readonly number[], own: readonly types.RankDemand[], others: ReadonlyMap<string, Readonly<Record<string, readonly number[]>>>): void {
+    private setCredit(servicePool: pool.ServicePool, shares: readonly number[], own: readonly types.RankDemand[], others: ReadonlyMap<string, Readonly<Record<string, readonly number[]>>>): void {
         const { context: { clock, identity } } = this.options;
         const now = clock.getNow();
         const usable = servicePool.upstreams.filter(target => !target.isLeaving(now) && target.routability.kind !== "ejected");
--- a/test/integration.configuration.test.ts
+++ b/test/integration.configuration.test.ts
@@ -101,6 +101,18 @@
         await waitForVersion(13);
     });
 
+    await t.test("a feature is retired while requests that name it wait", async t => {
+        await fleet.applyConfiguration(first, createDocument());
+        await upstream!.setBehaviour({ slots: 1, serviceMs: 700 });
+        const pending = Array.from({ length: 8 }, () => first.send("/read/1"));
+        await processes.waitFor("some wait", async () => JSON.stringify((await first.getDump<{ admission: object; }>()).admission).match(/"queued":[5-9]/));
+        t.equal((await second.sendCall("Retire", { features: ["reading"] })).status, 200);
+        const statuses = (await Promise.all(pending)).map(answer => answer.status);
+        t.ok(statuses.filter(status => status === 410).length >= 5, `those that waited were refused: ${statuses.join(" ")}`);
+        await upstream!.setBehaviour({ slots: 3, serviceMs: 10 });
+        await fleet.applyConfiguration(first, createDocument());
+    });
+
     await t.test("an instance hears neither the store nor half of the others", async t => {
         await store.setBehaviour({ isAway: true });
         const others = instances.filter(instance => instance !== second);
