--- a/src/admission/pressure.ts
+++ b/src/admission/pressure.ts
@@ -2,6 +2,7 @@
 
 import { z } from "zod";
 import type * as configuration from "../configuration/index.js";
+import * as cachedParser from "../kernel/cachedParser.js";
 import type * as context from "../kernel/context.js";
 import type * as peers from "../peers/index.js";
 import type * as pool from "../pool/index.js";
@@ -16,8 +17,8 @@
 const publishedChange = 0.2;
 const topic = "pressure";
 
-/** Demand by service and rank. */
-const pressureSchema = z.record(z.string(), z.array(z.number().min(0)).max(16));
+/** Parses demand by service and rank. */
+const parsePressure = cachedParser.createCachedParser(z.record(z.string(), z.array(z.number().min(0)).max(16)));
 
 interface Credit {
     allocation: allocation.Allocation;
@@ -120,7 +121,7 @@
     private listPeerDemand(): ReadonlyMap<string, Readonly<Record<string, readonly number[]>>> {
         const { mesh, context: { identity } } = this.options;
         const alive = new Set(mesh.listMembers().filter(member => member.state !== "suspect" && member.instanceId !== identity.instanceId).map(member => member.instanceId));
-        const pairs = [...mesh.getRegisters(topic)].filter(([origin]) => alive.has(origin)).map(([origin, body]) => [origin, pressureSchema.safeParse(body).data ?? {}] as const);
+        const pairs = [...mesh.getRegisters(topic)].filter(([origin]) => alive.has(origin)).map(([origin, body]) => [origin, parsePressure(body) ?? {}] as const);
         return new Map(pairs);
     }
 }
--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -66,9 +66,10 @@
             this.server.once("error", reject);
             this.server.listen(port, host, resolve);
         });
-        const callerAddress = settings.getAdvertisedAddress(values.callerAdvertise, values.callerListen, (this.server.address() as net.AddressInfo).port);
+        const boundPort = (this.server.address() as net.AddressInfo).port;
+        const callerAddress = settings.getAdvertisedAddress(values.callerAdvertise, values.callerListen, boundPort);
         mesh.setMember({ callerAddress, state: "running" });
-        logger.writeInfo("callers-port-open", `callers are served at ${callerAddress}`, { address: callerAddress });
+        logger.writeInfo("callers-port-open", `callers are served at ${callerAddress}`, { address: callerAddress, listening: settings.formatAddress({ host, port: boundPort }) });
     }
 
     /**
--- a/src/detection/detection.ts
+++ b/src/detection/detection.ts
@@ -2,6 +2,7 @@
 
 import * as promClient from "prom-client";
 import { z } from "zod";
+import * as cachedParser from "../kernel/cachedParser.js";
 import type * as context from "../kernel/context.js";
 import * as randomness from "../kernel/randomness.js";
 import type * as peers from "../peers/index.js";
@@ -30,7 +31,8 @@
 const verdictTopicPrefix = "verdicts:";
 
 const reportSchema = z.strictObject({ services: z.record(z.string(), z.array(evidence.entrySchema).max(10_000)) });
-const followSchema = z.record(z.string(), z.string());
+const parseFollowed = cachedParser.createCachedParser(z.record(z.string(), z.string()));
+const parseVerdicts = cachedParser.createCachedParser(verdicts.verdictsSchema);
 
 interface ReceivedReport {
     readonly receivedAt: number;
@@ -219,7 +221,7 @@
             return verdicts.createVerdicts(state.ejections, clock.getNow());
         }
         const body = mesh.getRegisters(`${verdictTopicPrefix}${service}`).get(state.decider);
-        return verdicts.verdictsSchema.safeParse(body).data?.verdicts ?? [];
+        return parseVerdicts(body)?.verdicts ?? [];
     }
 
     private publishFollowed(): void {
@@ -239,7 +241,7 @@
         }
         const alive = new Set(mesh.listMembers().filter(member => member.state !== "suspect").map(member => member.instanceId));
         const following = [...mesh.getRegisters(followTopic)]
-            .filter(([origin, body]) => alive.has(origin) && followSchema.safeParse(body).data?.[service] === identity.instanceId)
+            .filter(([origin, body]) => alive.has(origin) && parseFollowed(body)?.[service] === identity.instanceId)
             .map(([origin]) => origin);
         for (const origin of state.followedSince.keys()) {
             if (!following.includes(origin)) {
--- a/src/operators/index.ts
+++ b/src/operators/index.ts
@@ -23,6 +23,7 @@
             handler: shared.services.getService(callers.handlerKey),
             lifecycle: shared.services.getService(kernel.lifecycleKey),
             secret: peers.readSharedSecret(shared.settings),
+            tlsFiles: peers.readTlsFiles(shared.settings),
         };
         const server = new operatorServer.OperatorServer({ ...options, service: new operatorService.OperatorService(options) });
         return { start: () => server.start(), stop: () => server.stop() };
--- a/src/operators/operatorServer.ts
+++ b/src/operators/operatorServer.ts
@@ -8,7 +8,7 @@
 import type * as configuration from "../configuration/index.js";
 import type * as context from "../kernel/context.js";
 import type * as kernel from "../kernel/kernel.js";
-import * as peers from "../peers/index.js";
+import type * as peers from "../peers/index.js";
 import * as operatorPb from "../rpc/agatebend/v1/operator_pb.js";
 import * as settings from "../settings/index.js";
 import type * as operatorService from "./operatorService.js";
@@ -25,6 +25,8 @@
     readonly mesh: peers.Mesh;
     readonly lifecycle: kernel.Lifecycle;
     readonly secret: string;
+    /** The certificates of the port, if any. */
+    readonly tlsFiles: peers.TlsFiles | undefined;
 }
 
 /** Serves operators. */
@@ -45,7 +47,7 @@
             }
             adapter(request, response);
         };
-        const tlsFiles = peers.readTlsFiles(options.context.settings);
+        const { tlsFiles } = options;
         this.server = tlsFiles === undefined ? http.createServer(handle) : https.createServer({ ...tlsFiles }, handle);
     }
 
--- a/src/operators/operatorService.ts
+++ b/src/operators/operatorService.ts
@@ -29,6 +29,8 @@
     readonly handler: callers.Handler;
     readonly lifecycle: kernel.Lifecycle;
     readonly secret: string;
+    /** The certificates of the operators' ports, if any. */
+    readonly tlsFiles: peers.TlsFiles | undefined;
 }
 
 /** Answers operators. */
@@ -88,9 +90,11 @@
         if (member === undefined || member.operatorAddress === "") {
             return err(errors.createError("instanceUnknown", `no instance ${instanceId} is known; known: ${mesh.listMembers().map(known => known.instanceId).join(", ")}`));
         }
+        const { tlsFiles } = this.options;
         const transport = createConnectTransport({
-            baseUrl: `http://${member.operatorAddress}`,
+            baseUrl: `${tlsFiles === undefined ? "http" : "https"}://${member.operatorAddress}`,
             httpVersion: "1.1",
+            nodeOptions: tlsFiles === undefined ? {} : { ca: tlsFiles.ca },
             interceptors: [next => call => {
                 call.header.set("authorization", `Bearer ${secret}`);
                 return next(call);
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -5,7 +5,7 @@
 
 export type { Member, MemberState } from "./members.js";
 export { Mesh, meshKey } from "./mesh.js";
-export { readSharedSecret, readTlsFiles } from "./transport.js";
+export { readSharedSecret, readTlsFiles, type TlsFiles } from "./transport.js";
 
 plugins.registerPlugin({
     name: "peers",
--- a/src/peers/members.ts
+++ b/src/peers/members.ts
@@ -1,6 +1,7 @@
 /** What is known of the fleet's instances. */
 
 import { z } from "zod";
+import * as cachedParser from "../kernel/cachedParser.js";
 
 const descriptionSchema = z.object({
     failureDomain: z.string().max(128),
@@ -26,13 +27,8 @@
     readonly silenceMs: number;
 }
 
-/**
- * Parses a published description; undefined where it is missing or malformed.
- * @param body - The register's body.
- */
-export function parseDescription(body: unknown): MemberDescription | undefined {
-    return descriptionSchema.safeParse(body).data;
-}
+/** Parses a published description; undefined where it is missing or malformed. */
+export const parseDescription = cachedParser.createCachedParser(descriptionSchema);
 
 /**
  * Creates a member as judged here.
--- a/test/integration.orders.test.ts
+++ b/test/integration.orders.test.ts
@@ -134,6 +134,20 @@
         await processes.waitFor("the owner is heard again", async () => (await other.sendCall("Status", {})).json.instances && JSON.stringify((await other.sendCall("Status", {})).json).match(/"running"/g)?.length === 3);
     });
 
+    await t.test("the caller reaches the owner, and the other instances do not", async t => {
+        const proxy = await standIns.startFaultProxy(owner.ports.caller);
+        const aside = await fleet.startInstance({ id: "i4", failureDomain: "north", storeUrl: `http://${store.getAddress()}`, seeds: [owner.ports.peer], flags: { ...flags, "caller-advertise": proxy.getAddress() } });
+        t.teardown(() => Promise.all([proxy.process, aside.process].map(started => started.stop())));
+        await proxy.setBehaviour({ refuses: true });
+        const direct = new fleet.Instance("i4", "north", aside.process);
+        direct.ports = { ...aside.ports, caller: String(aside.listLogs("callers-port-open")[0]!.context.listening) };
+        await processes.waitFor("it has the configuration", async () => await direct.getVersion() > 0);
+        const key = await createIssuedKey(direct);
+        t.equal(await sendOrder(direct, key), "executed");
+        t.equal(await sendOrder(other, key), "unknown", "a repeat at another instance");
+        t.equal(await countExecutions(key), 1);
+    });
+
     await t.test("the upstream is killed while it runs the order", async t => {
         const key = await createIssuedKey(owner);
         await setAll({ shedsAll: true }, shared);
