--- a/bench/capacity.bench.ts
+++ b/bench/capacity.bench.ts
@@ -45,7 +45,7 @@
     };
 }
 
-async function measure(instanceCount: number, upstreamCount: number, routeCount: number) {
+async function runMeasurement(instanceCount: number, upstreamCount: number, routeCount: number) {
     const store = await standIns.startStore();
     const domains = Array.from({ length: instanceCount }, (_, index) => `d${index % 3}`);
     const instances = await fleet.startFleet(domains, `http://${store.getAddress()}`, { "log-level": "info", "store-timeout-ms": 10_000 });
@@ -78,7 +78,7 @@
     }
 }
 
-type Measured = Awaited<ReturnType<typeof measure>>;
+type Measured = Awaited<ReturnType<typeof runMeasurement>>;
 
 async function runSeries(name: string, sizes: readonly number[], target: number, run: (size: number) => Promise<Measured>): Promise<void> {
     const results: { readonly size: number; readonly measured: Measured; }[] = [];
@@ -100,6 +100,6 @@
     }
 }
 
-await runSeries("instances (33 upstreams, 100 routes)", [3, 9, 17, 30], letter.instances, size => measure(size, 33, 100));
-await runSeries("upstreams (3 instances, 100 routes)", [33, 330, 3_300], letter.upstreams, size => measure(3, size, 100));
-await runSeries("routes (3 instances, 33 upstreams)", [100, 5_000, 20_000], letter.routes, size => measure(3, 33, size));
+await runSeries("instances (33 upstreams, 100 routes)", [3, 9, 17, 30], letter.instances, size => runMeasurement(size, 33, 100));
+await runSeries("upstreams (3 instances, 100 routes)", [33, 330, 3_300], letter.upstreams, size => runMeasurement(3, size, 100));
+await runSeries("routes (3 instances, 33 upstreams)", [100, 5_000, 20_000], letter.routes, size => runMeasurement(3, 33, size));
