End an instance's own avoidance by itself, and hold its own slowness against nobody

Cause: found while writing the test of the floor over a partition, in which one side never ejected: after two failures an instance preferred other upstreams until it saw a success, which it could not see while others had room; a recovered upstream stayed without work there. Change: the preference lasts 1 s after the last failure, doubled with each up to 8 s. Seen failing: the partition test before the change (0 ejections on one side). The sampling of the event loop's delay wakes an idle instance every 500 ms instead of every 10.

--- a/bench/detection.bench.ts
+++ b/bench/detection.bench.ts
@@ -126,13 +126,17 @@
         const first = events.find(event => event.isEjection && event.upstream === `u${scenario.sick}`);
         detected = `${first === undefined ? "not ejected" : `ejected after ${first.at - failedAt} ms`}, last work sent after ${last} ms`;
     }
+    if (wrong > 0) {
+        running.instances.flatMap(instance => instance.listLogs("upstream-ejected")).slice(-wrong).forEach(line => console.log(`    ${line.message}`));
+    }
     await new Promise(resolve => setTimeout(resolve, settleMs));
     return `${scenario.name.padEnd(36)} | ${detected.padEnd(54)} | hurt: urgent ${hurt.urgent}, bulk ${hurt.bulk} of ${sent} | wrong ejections ${wrong} | least routable ${
         deployment.upstreams - computeWidestUnion(listEvents(running))
     } (floor ${deployment.floor})`;
 }
 
-const wanted = process.argv.slice(2);
+const only = process.argv.find(word => word.startsWith("--only="))?.slice("--only=".length);
+const wanted = process.argv.slice(2).filter(word => !word.startsWith("--"));
 for (const [key, method] of [["quillen", "shared"], ["ashby", "shared"], ["quillen", "local"], ["quillen", "consecutive"]] as const) {
     if (wanted.length > 0 && !wanted.includes(`${key}:${method}`)) {
         continue;
@@ -141,7 +145,7 @@
     const running = await deployments.startDeployment(deployment, { serviceMs, deadlineMs, flags: { detection: method } });
     try {
         console.log(`${deployment.name}: ${deployment.instances} instances, ${deployment.upstreams} upstreams, ${requestsPerSecondAndUpstream} requests/s each; detection ${method}; target ${targetMs} ms`);
-        for (const scenario of scenarios) {
+        for (const scenario of scenarios.filter(({ name }) => only === undefined || name.includes(only))) {
             console.log(await runScenario(running, deployment, scenario));
         }
     }
--- a/src/detection/detection.ts
+++ b/src/detection/detection.ts
@@ -14,14 +14,14 @@
 
 /** Milliseconds between two looks at the evidence. */
 const lookIntervalMs = 100;
+/** A look that comes later than this shows that the instance itself is slow, in milliseconds. */
+const tolerableLagMs = 100;
+/** How long what goes wrong is then not held against upstreams, in milliseconds. */
+const lagMemoryMs = 500;
 /** Looks between two reports while nothing is wrong. */
 const looksPerQuietReport = 5;
 /** A report older than this is left out, in milliseconds. */
 const reportLifeMs = 1_500;
-/** Attempts gone wrong in a row from which this instance prefers other upstreams by itself. */
-const avoidAfterBad = 2;
-/** How long such a preference lasts after the last sign, in milliseconds. */
-const avoidMs = 1_000;
 /** How long an instance must have followed a decider before it counts, in milliseconds. */
 const followHoldMs = 3_500;
 /** How long a silent instance still counts as one of the fleet, in milliseconds. */
@@ -63,6 +63,7 @@
     private readonly lastHeardAt = new Map<string, number>();
     private readonly ejectionCounter: promClient.Counter<"service">;
     private look = 0;
+    private lookedAt = Infinity;
     private followedText = "";
 
     constructor(private readonly options: CreateDetectionOptions) {
@@ -95,6 +96,10 @@
 
     private runLook(): void {
         const now = this.options.context.clock.getNow();
+        if (now - this.lookedAt > lookIntervalMs + tolerableLagMs) {
+            this.evidence.setLagging(now + lagMemoryMs);
+        }
+        this.lookedAt = now;
         this.look += 1;
         const members = this.options.mesh.listMembers();
         members.filter(member => member.state !== "suspect").forEach(member => this.lastHeardAt.set(member.instanceId, now));
@@ -123,11 +128,7 @@
 
     /** Prefers other upstreams where this instance itself sees one go wrong; this takes no capacity away. */
     private setAvoidance(servicePool: pool.ServicePool, now: number): void {
-        for (const target of servicePool.upstreams) {
-            if (this.evidence.getBadInARow(target, now) >= avoidAfterBad || this.evidence.hasOverdue(target, now)) {
-                target.setAvoided(now + avoidMs);
-            }
-        }
+        servicePool.upstreams.forEach(target => target.setAvoided(this.evidence.getAvoidedUntil(target, now)));
     }
 
     private sendReport(servicePool: pool.ServicePool, state: ServiceState, now: number): void {
--- a/src/detection/evidence.ts
+++ b/src/detection/evidence.ts
@@ -12,6 +12,11 @@
 const overdueWithoutHistoryMs = 2_000;
 /** How much more patient an instance is with an upstream that has just joined or come back. */
 const coldStartFactor = 3;
+/** Attempts gone wrong in a row from which an instance prefers other upstreams by itself. */
+const avoidAfterBad = 2;
+/** How long such a preference lasts, doubled with each further attempt up to the maximum, in milliseconds. */
+const avoidMs = 1_000;
+const maximumAvoidMs = 8_000;
 /** The greatest age reported, in milliseconds. */
 const maximumAgeMs = 60_000;
 
@@ -47,6 +52,8 @@
     /** Attempts that ended badly since one ended well, and when the youngest of them was sent. */
     badInARow: number;
     newestBadSentAt: number;
+    /** When an attempt last ended badly. */
+    badAt: number;
 }
 
 /** Options of the evidence. */
@@ -60,6 +67,7 @@
 /** Collects evidence; it is told the time, in monotonic milliseconds. */
 export class Evidence {
     private readonly histories = new WeakMap<pool.Upstream, History>();
+    private laggingUntil = -Infinity;
 
     constructor(private readonly options: CreateEvidenceOptions) {}
 
@@ -75,6 +83,14 @@
         return Math.max(this.options.getMinimumStallMs(target.service), usual) * patience;
     }
 
+    /**
+     * Takes nothing that goes wrong until a time as evidence, since this instance itself is slow.
+     * @param until - Monotonic milliseconds.
+     */
+    setLagging(until: number): void {
+        this.laggingUntil = until;
+    }
+
     /**
      * Records the end of an attempt.
      * @param target - The upstream.
@@ -87,7 +103,8 @@
         const isOverdue = ageMs >= this.getOverdueMs(target, attempt.route);
         // Shedding is load. A caller that leaves, or whose deadline passes, says nothing unless it had waited for too long.
         const isCutShort = (outcome === "cancelled" || outcome === "timedOut") && !isOverdue;
-        if (outcome === "shed" || isCutShort) {
+        const isOwnFault = isOverdue && now < this.laggingUntil;
+        if (outcome === "shed" || isCutShort || isOwnFault) {
             return;
         }
         const history = this.getHistory(target);
@@ -100,25 +117,22 @@
         }
         bucket.bad += 1;
         history.badInARow += 1;
+        history.badAt = now;
         history.newestBadSentAt = Math.max(history.newestBadSentAt, attempt.startedAt);
     }
 
     /**
-     * Returns how many attempts in a row have gone wrong, those under way that are overdue included.
-     * @param target - The upstream.
-     * @param now - The time.
-     */
-    getBadInARow(target: pool.Upstream, now: number): number {
-        return this.getHistory(target).badInARow + this.listOverdueAges(target, now).length;
-    }
-
-    /**
-     * Returns whether an attempt under way is overdue.
+     * Returns until when this instance should prefer others; the past where it need not.
      * @param target - The upstream.
      * @param now - The time.
+     * @remarks It ends by itself, so that an upstream that has recovered gets work again.
      */
-    hasOverdue(target: pool.Upstream, now: number): boolean {
-        return this.listOverdueAges(target, now).length > 0;
+    getAvoidedUntil(target: pool.Upstream, now: number): number {
+        if (this.listOverdueAges(target, now).length > 0) {
+            return now + avoidMs;
+        }
+        const { badInARow, badAt } = this.getHistory(target);
+        return badInARow < avoidAfterBad ? -Infinity : badAt + Math.min(maximumAvoidMs, avoidMs * 2 ** (badInARow - avoidAfterBad));
     }
 
     /**
@@ -149,13 +163,16 @@
     }
 
     private listOverdueAges(target: pool.Upstream, now: number): readonly number[] {
+        if (now < this.laggingUntil) {
+            return [];
+        }
         return [...target.attempts]
             .filter(attempt => attempt.answeredAt === undefined && now - attempt.startedAt >= this.getOverdueMs(target, attempt.route))
             .map(attempt => now - attempt.startedAt);
     }
 
     private getHistory(target: pool.Upstream): History {
-        const known = this.histories.get(target) ?? { buckets: [], okAt: -Infinity, badInARow: 0, newestBadSentAt: -Infinity };
+        const known = this.histories.get(target) ?? { buckets: [], okAt: -Infinity, badInARow: 0, newestBadSentAt: -Infinity, badAt: -Infinity };
         this.histories.set(target, known);
         return known;
     }
--- a/src/operators/index.ts
+++ b/src/operators/index.ts
@@ -10,11 +10,14 @@
 import * as operatorServer from "./operatorServer.js";
 import * as operatorService from "./operatorService.js";
 
+/** How often the event loop delay is sampled, in milliseconds; each sample wakes the process. */
+const eventLoopPrecisionMs = 500;
+
 plugins.registerPlugin({
     name: "operators",
     dependsOn: ["callers", "configuration", "peers", "pool"],
     create: shared => {
-        promClient.collectDefaultMetrics({ register: shared.metrics, prefix: "agatebend_" });
+        promClient.collectDefaultMetrics({ register: shared.metrics, prefix: "agatebend_", eventLoopMonitoringPrecision: eventLoopPrecisionMs });
         const options = {
             context: shared,
             configuration: shared.services.getService(configuration.configurationKey),
--- a/test/integration.partition.test.ts
+++ b/test/integration.partition.test.ts
@@ -1,33 +1,24 @@
 /** A one-way cut between two failure domains: what the link does not carry comes through the third. */
 
-import * as net from "node:net";
 import tap from "tap";
 import * as configurations from "./harness/configurations.js";
 import * as fleet from "./harness/fleet.js";
+import * as ports from "./harness/ports.js";
 import * as processes from "./harness/processes.js";
 import * as standIns from "./harness/standIns.js";
 
 const inForceTargetMs = 5_000;
 const deafMs = 4_000;
 
-/** Finds a port that was free a moment ago. */
-async function findPort(): Promise<number> {
-    const server = net.createServer();
-    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as net.AddressInfo;
-    await new Promise(resolve => server.close(resolve));
-    return port;
-}
-
 void tap.test("south no longer hears north, which hears south", async t => {
     const store = await standIns.startStore();
     const [upstream] = await standIns.startUpstreams(1);
-    const ports = { north: await findPort(), south: await findPort() };
-    const proxies = { north: await standIns.startFaultProxy(`127.0.0.1:${ports.north}`), south: await standIns.startFaultProxy(`127.0.0.1:${ports.south}`) };
+    const peerPorts = { north: await ports.findPort(), south: await ports.findPort() };
+    const proxies = { north: await standIns.startFaultProxy(`127.0.0.1:${peerPorts.north}`), south: await standIns.startFaultProxy(`127.0.0.1:${peerPorts.south}`) };
     const started = [store.process, upstream!.process, proxies.north.process, proxies.south.process];
     t.teardown(() => Promise.all(started.map(process => process.stop())));
     const start = async (id: string, failureDomain: "north" | "middle" | "south", seeds: readonly string[], storeUrl: string) => {
-        const flags: Record<string, string> = failureDomain === "middle" ? {} : { "peer-listen": `127.0.0.1:${ports[failureDomain]}`, "peer-advertise": proxies[failureDomain].getAddress() };
+        const flags: Record<string, string> = failureDomain === "middle" ? {} : { "peer-listen": `127.0.0.1:${peerPorts[failureDomain]}`, "peer-advertise": proxies[failureDomain].getAddress() };
         const instance = await fleet.startInstance({ id, failureDomain, storeUrl, seeds, flags });
         started.push(instance.process);
         return instance;
