--- a/bench/configuration.bench.ts
+++ b/bench/configuration.bench.ts
@@ -1,5 +1,6 @@
 /** Measures the time from a change's acceptance until it is in force everywhere, and the store's calls. */
 
+import * as processes from "../test/harness/processes.js";
 import * as deployments from "./deployments.js";
 import * as metrics from "./metrics.js";
 
@@ -25,10 +26,17 @@
             const { json } = await running.instances[index % running.instances.length]!.sendCall("Retire", { features: [`${name.replaceAll(" ", "-")}-${index}`], waitMs: 10_000 });
             answers.push(performance.now() - sentAt);
             const version = Number(json.version);
-            const times = running.instances.flatMap(instance =>
-                [...instance.listLogs("configuration-in-force"), ...instance.listLogs("configuration-accepted")].filter(line => line.context.version === version).map(line => (line as unknown as { readonly time: number; }).time)
-            );
-            spans.push(times.length === running.instances.length ? Math.max(...times) - Math.min(...times) : NaN);
+            // An instance may take a later version at once, so the first one that is new enough counts.
+            const listTimes = () =>
+                running.instances.map(instance =>
+                    Math.min(
+                        ...["configuration-in-force", "configuration-accepted"].flatMap(event => instance.listLogs(event)).filter(line => Number(line.context.version) >= version).map(line =>
+                            (line as unknown as { readonly time: number; }).time
+                        ),
+                    )
+                );
+            const times = await processes.waitFor("every instance has logged it", () => listTimes().every(Number.isFinite) ? listTimes() : undefined);
+            spans.push(Math.max(...times) - Math.min(...times));
             await new Promise(resolve => setTimeout(resolve, 50));
         }
         const calls = ((await countCalls()) - before) / ((performance.now() - startedAt) / 1_000);
--- a/src/callers/handler.ts
+++ b/src/callers/handler.ts
@@ -95,7 +95,8 @@
         const keyText = parseRequest.parseSingleHeader(request, requests.fleetHeaders.orderKey);
         if (keyText.isErr()) {
             request.resume();
-            answer.writeError(response, keyText.error, shared);
+            // Either of two keys may have been used before, so nothing is said of them.
+            answer.writeError(response, errors.createError("refusedRepeat", keyText.error.message), shared);
             return;
         }
         const compiled = this.options.configuration.getCurrent();
@@ -109,7 +110,11 @@
             await this.rejectRequest(request, response, keyText.value, parsed.error);
             return;
         }
-        const { route } = parsed.value;
+        const { route, feature, workspace } = parsed.value;
+        if (this.isRetired(feature)) {
+            await this.rejectRetired(request, response, keyText.value, parsed.value);
+            return;
+        }
         const body = await this.bodies.readBody(request);
         if (body.isErr()) {
             await this.rejectRequest(request, response, keyText.value, body.error);
@@ -121,8 +126,8 @@
             rawHeaders: request.rawHeaders,
             body: body.value.body,
             route,
-            workspace: parsed.value.workspace,
-            feature: parsed.value.feature,
+            workspace,
+            feature,
             deadlineAt: startedAt + parsed.value.deadlineMs,
             signal: createCallerSignal(response),
         };
@@ -139,8 +144,7 @@
         const { route } = fleetRequest;
         // The configuration may have changed while the body came, so the feature is looked at again.
         if (this.isRetired(fleetRequest.feature)) {
-            this.recordRetired(request, fleetRequest.feature!, fleetRequest.workspace);
-            await this.rejectRequest(request, response, keyText, errors.createError("featureRetired", `the feature ${fleetRequest.feature} is retired`));
+            await this.rejectRetired(request, response, keyText, fleetRequest);
             return;
         }
         if (route.repeatable) {
@@ -171,6 +175,7 @@
     /** Refuses a request; one with an order key is told the truth about its key. */
     private async rejectRequest(request: http.IncomingMessage, response: http.ServerResponse, keyText: string | undefined, error: errors.FleetError): Promise<void> {
         request.resume();
+        this.metrics.recordRefusal(error.kind);
         if (error.kind === "bodyTooLarge" || error.kind === "badRequest") {
             response.setHeader("connection", "close");
         }
@@ -180,7 +185,6 @@
             return;
         }
         answer.writeError(response, error, this.options.context);
-        this.metrics.recordRefusal(error.kind);
     }
 
     private getRefusal(request: http.IncomingMessage, compiled: configuration.CompiledConfiguration | undefined): errors.FleetError | undefined {
@@ -190,11 +194,6 @@
         if (this.options.configuration.isStale()) {
             return errors.createError("configurationStale");
         }
-        const parsed = parseRequest.parseRequest(request, compiled);
-        if (parsed.isOk() && this.isRetired(parsed.value.feature)) {
-            this.recordRetired(request, parsed.value.feature!, parsed.value.workspace);
-            return errors.createError("featureRetired", `the feature ${parsed.value.feature} is retired`);
-        }
         return undefined;
     }
 
@@ -202,14 +201,15 @@
         return feature !== undefined && this.options.configuration.getCurrent()?.retiredFeatures.has(feature) === true;
     }
 
-    private recordRetired(request: http.IncomingMessage, feature: string, workspace: string): void {
+    private async rejectRetired(request: http.IncomingMessage, response: http.ServerResponse, keyText: string | undefined, { feature, workspace }: Pick<requests.FleetRequest, "feature" | "workspace">): Promise<void> {
         const agent = (request.headers["user-agent"] ?? "").slice(0, 80);
         this.retired.recordCall({
-            feature,
+            feature: feature ?? "",
             workspace,
             caller: `${request.socket.remoteAddress ?? ""} ${agent}`.trim(),
             lastWallTimeMs: this.options.context.clock.getWallTime(),
         });
+        await this.rejectRequest(request, response, keyText, errors.createError("featureRetired", `the feature ${feature} is retired`));
     }
 }
 
--- a/src/detection/detection.ts
+++ b/src/detection/detection.ts
@@ -9,6 +9,7 @@
 import type * as pool from "../pool/index.js";
 import * as ejections from "./ejections.js";
 import * as evidence from "./evidence.js";
+import * as followers from "./followers.js";
 import * as judge from "./judge.js";
 import * as verdicts from "./verdicts.js";
 
@@ -22,16 +23,10 @@
 const looksPerQuietReport = 5;
 /** A report older than this is left out, in milliseconds. */
 const reportLifeMs = 1_500;
-/** How long an instance must have followed a decider before it counts, in milliseconds. */
-const followHoldMs = 3_500;
-/** How long a silent instance still counts as one of the fleet, in milliseconds. */
-const rememberedMs = 3_600_000;
 const reportTopic = "evidence";
-const followTopic = "followed";
 const verdictTopicPrefix = "verdicts:";
 
 const reportSchema = z.strictObject({ services: z.record(z.string(), z.array(evidence.entrySchema).max(10_000)) });
-const parseFollowed = cachedParser.createCachedParser(z.record(z.string(), z.string()));
 const parseVerdicts = cachedParser.createCachedParser(verdicts.verdictsSchema);
 
 interface ReceivedReport {
@@ -42,8 +37,6 @@
 interface ServiceState {
     readonly ejections: ejections.Ejections;
     readonly reports: Map<string, ReceivedReport>;
-    /** When each follower was first seen to follow this instance. */
-    readonly followedSince: Map<string, number>;
     judgements: ReadonlyMap<string, judge.Judgement>;
     decider: string;
     published: string;
@@ -60,14 +53,15 @@
 export class Detection {
     private readonly evidence: evidence.Evidence;
     private readonly services = new Map<string, ServiceState>();
-    private readonly lastHeardAt = new Map<string, number>();
+    private readonly followers: followers.Followers;
     private readonly ejectionCounter: promClient.Counter<"service">;
     private look = 0;
     private lookedAt = Infinity;
-    private followedText = "";
+    private runningText = "";
 
     constructor(private readonly options: CreateDetectionOptions) {
         const { pool: upstreamPool, mesh, context: shared } = options;
+        this.followers = new followers.Followers(options);
         this.evidence = new evidence.Evidence({
             getMedianMs: (service, route) => upstreamPool.latencies.getQuantile(service, route, 0.5),
             getMinimumStallMs: service => upstreamPool.getServicePool(service)?.definition.minimumStallMs ?? 0,
@@ -87,7 +81,7 @@
         return Object.fromEntries([...this.services].map(([service, state]) => [service, {
             decider: state.decider,
             isDecidedHere: this.isDecidedHere(state),
-            followers: this.listFollowers(service, state, this.options.context.clock.getNow()).length,
+            followers: this.followers.listFollowers(service, this.options.context.clock.getNow()).length,
             remainingEjections: this.getRemainingEjections(service, state),
             phases: this.getVerdicts(service, state),
             judgements: Object.fromEntries(state.judgements),
@@ -102,20 +96,23 @@
         this.lookedAt = now;
         this.look += 1;
         const members = this.options.mesh.listMembers();
-        members.filter(member => member.state !== "suspect").forEach(member => this.lastHeardAt.set(member.instanceId, now));
-        members.filter(member => member.state === "draining").forEach(member => this.lastHeardAt.delete(member.instanceId));
-        this.removeSilent(now);
+        this.followers.recordMembers(members, now);
         const running = members.filter(member => member.state === "running").map(member => member.instanceId);
+        const runningText = running.join();
+        const haveMembersChanged = runningText !== this.runningText;
+        this.runningText = runningText;
         for (const servicePool of this.options.pool.listServicePools()) {
-            this.checkPool(servicePool, running, now);
+            this.checkPool(servicePool, running, haveMembersChanged, now);
         }
-        this.publishFollowed();
+        this.followers.publishFollowed(Object.fromEntries([...this.services].map(([service, state]) => [service, state.decider])));
     }
 
-    private checkPool(servicePool: pool.ServicePool, running: readonly string[], now: number): void {
+    private checkPool(servicePool: pool.ServicePool, running: readonly string[], haveMembersChanged: boolean, now: number): void {
         const state = this.getState(servicePool.name);
         const self = this.options.context.identity.instanceId;
-        this.setDecider(servicePool.name, state, this.isShared() ? chooseDecider(servicePool.name, running) ?? self : self, now);
+        if (haveMembersChanged || state.decider === "") {
+            this.setDecider(servicePool.name, state, this.isShared() ? chooseDecider(servicePool.name, running) ?? self : self, now);
+        }
         if (this.options.context.settings.detection !== "consecutive") {
             this.setAvoidance(servicePool, now);
         }
@@ -166,7 +163,7 @@
             ? judge.createConsecutiveJudgements(reports.flatMap(report => report.entries))
             : judge.createJudgements({
                 reports,
-                requiredInstances: Math.min(2, this.countKnown()),
+                requiredInstances: Math.min(2, this.followers.countKnown()),
                 requiredDomains: this.isShared() ? Math.min(2, new Set(domains.values()).size) : 1,
             });
         const changes = state.ejections.decidePhases({
@@ -174,8 +171,8 @@
             judgements: state.judgements,
             live: servicePool.upstreams.filter(target => !target.isLeaving(now)).map(target => target.getId()),
             floor: servicePool.definition.floor,
-            followers: this.listFollowers(servicePool.name, state, now),
-            knownInstances: this.countKnown(),
+            followers: this.followers.listFollowers(servicePool.name, now),
+            knownInstances: this.followers.countKnown(),
         });
         for (const { upstream, change, reason } of changes) {
             logger.writeWarning(`upstream-${change}`, `${servicePool.name}/${upstream} is ${change}: ${reason}`, { service: servicePool.name, upstream, reason });
@@ -203,7 +200,7 @@
         const inherited = this.getVerdicts(service, state);
         state.decider = decider;
         state.reports.clear();
-        state.followedSince.clear();
+        this.followers.removeFollowers(service);
         state.ejections.removeAll();
         if (decider === instanceId) {
             inherited.forEach(verdict => state.ejections.setPhase(verdict.upstream, verdicts.createPhase(verdict, now), verdict.recurrence, now));
@@ -225,34 +222,6 @@
         return parseVerdicts(body)?.verdicts ?? [];
     }
 
-    private publishFollowed(): void {
-        const followed = Object.fromEntries([...this.services].map(([service, state]) => [service, state.decider]));
-        const text = JSON.stringify(followed);
-        if (text !== this.followedText) {
-            this.followedText = text;
-            this.options.mesh.setRegister(followTopic, followed);
-        }
-    }
-
-    /** Lists the instances that have followed this one long enough for a former decider's verdicts to have lapsed there. */
-    private listFollowers(service: string, state: ServiceState, now: number): readonly string[] {
-        const { mesh, context: { identity } } = this.options;
-        if (!this.isShared()) {
-            return [identity.instanceId];
-        }
-        const alive = new Set(mesh.listMembers().filter(member => member.state !== "suspect").map(member => member.instanceId));
-        const following = [...mesh.getRegisters(followTopic)]
-            .filter(([origin, body]) => alive.has(origin) && parseFollowed(body)?.[service] === identity.instanceId)
-            .map(([origin]) => origin);
-        for (const origin of state.followedSince.keys()) {
-            if (!following.includes(origin)) {
-                state.followedSince.delete(origin);
-            }
-        }
-        following.forEach(origin => state.followedSince.set(origin, state.followedSince.get(origin) ?? now));
-        return following.filter(origin => now - state.followedSince.get(origin)! >= followHoldMs);
-    }
-
     private getRemainingEjections(service: string, state: ServiceState): number {
         const servicePool = this.options.pool.getServicePool(service);
         if (servicePool === undefined || !this.isDecidedHere(state)) {
@@ -260,8 +229,8 @@
         }
         const now = this.options.context.clock.getNow();
         const live = servicePool.upstreams.filter(target => !target.isLeaving(now)).length;
-        const followers = this.listFollowers(service, state, now).length;
-        return ejections.computeBudget(live, servicePool.definition.floor, followers, this.countKnown()) - state.ejections.countHeldBack();
+        const followers = this.followers.listFollowers(service, now).length;
+        return ejections.computeBudget(live, servicePool.definition.floor, followers, this.followers.countKnown()) - state.ejections.countHeldBack();
     }
 
     private isDecidedHere(state: ServiceState): boolean {
@@ -272,21 +241,8 @@
         return this.options.context.settings.detection === "shared";
     }
 
-    /** Counts the instances that might be in the fleet; one that decides alone counts itself alone. */
-    private countKnown(): number {
-        return this.isShared() ? Math.max(1, this.lastHeardAt.size) : 1;
-    }
-
-    private removeSilent(now: number): void {
-        for (const [instanceId, at] of this.lastHeardAt) {
-            if (now - at > rememberedMs) {
-                this.lastHeardAt.delete(instanceId);
-            }
-        }
-    }
-
     private getState(service: string): ServiceState {
-        const known = this.services.get(service) ?? { ejections: new ejections.Ejections(), reports: new Map(), followedSince: new Map(), judgements: new Map(), decider: "", published: "" };
+        const known = this.services.get(service) ?? { ejections: new ejections.Ejections(), reports: new Map(), judgements: new Map(), decider: "", published: "" };
         this.services.set(service, known);
         return known;
     }
--- a/test/integration.badInput.test.ts
+++ b/test/integration.badInput.test.ts
@@ -107,6 +107,7 @@
         await doTest("a deadline of nothing", { "x-agatebend-deadline-ms": "0" }, 409, /whole number of milliseconds/);
         await doTest("a bad workspace", { "x-agatebend-workspace": "a b" }, 409, /x-agatebend-workspace must be/);
         await doTest("a header twice", { "x-agatebend-workspace": ["a", "b"] }, 409, /stands 2 times/);
+        await doTest("two keys", { "x-agatebend-order-key": ["k1", "k2"] }, 409, /"outcome":"unknown"/);
         await doTest("a bad key", { "x-agatebend-order-key": "no spaces" }, 400, /order key must be/);
         await doTest("a half prefix", { "x-agatebend-order-key": "i1~1~2" }, 400, /issued prefix/);
         await doTest("a forged prefix", { "x-agatebend-order-key": `${((await instance.getEntries()).orderKeyPrefix ?? "").replace(/.$/, "0").replace(/~[^~]+$/, "~0123456789abcdef")}~1` }, 400, /orderKeyInvalid/);
