--- /dev/null
+++ b/test/configuration/findRoute.test.ts
@@ -0,0 +1,39 @@
+/** Matching of requests to routes. */
+
+import tap from "tap";
+import * as chunks from "../../src/configuration/chunks.js";
+import * as configuration from "../../src/configuration/index.js";
+import * as compiled from "../../src/configuration/compiled.js";
+import * as configurations from "../harness/configurations.js";
+
+function createDocument(paths: readonly string[]) {
+    const base = configurations.createTestConfiguration({ upstreams: { "north-0": "127.0.0.1:1" } });
+    const [route] = base.routes;
+    return configuration.checkDocument({ ...base, routes: paths.map(pathPrefix => ({ ...route, name: `r-${paths.indexOf(pathPrefix)}`, pathPrefix })) })._unsafeUnwrap();
+}
+
+void tap.test("the longest prefix of whole segments wins", async t => {
+    const paths = ["/", "/lists", "/lists/old", "/files/"];
+    const current = compiled.createCompiled({ version: 1, changeId: "c", chunks: {}, recent: [] }, createDocument(paths));
+    const doTest = (method: string, path: string, expected: string | undefined) => t.equal(configuration.findRoute(current, method, path)?.pathPrefix, expected, `${method} ${path}`);
+    doTest("GET", "/", "/");
+    doTest("GET", "/lists", "/lists");
+    doTest("GET", "/lists/", "/lists");
+    doTest("GET", "/lists/7", "/lists");
+    doTest("GET", "/listsandmore", "/");
+    doTest("GET", "/lists/old/7", "/lists/old");
+    doTest("GET", "/lists/older", "/lists");
+    doTest("GET", "/files/a/b/c", "/files/");
+    doTest("POST", "/lists", undefined);
+});
+
+void tap.test("chunks", async t => {
+    const document = createDocument(Array.from({ length: 500 }, (_, index) => `/p${index}`));
+    const split = chunks.createChunks(document);
+    const joined = configuration.checkDocument(chunks.createDocument(new Map(split.map(chunk => [chunk.name, chunk.text]))))._unsafeUnwrap();
+    const sortRoutes = (routes: readonly configuration.RouteDefinition[]) => [...routes].sort((a, b) => a.name < b.name ? -1 : 1);
+    t.strictSame({ ...joined, routes: sortRoutes(joined.routes) }, { ...document, routes: sortRoutes(document.routes) }, "joining gives back what was split");
+    const changed = chunks.createChunks({ ...document, routes: document.routes.map((route, index) => index === 9 ? { ...route, deadlineMs: 1 } : route) });
+    const before = new Set(split.map(chunk => chunk.hash));
+    t.equal(changed.filter(chunk => !before.has(chunk.hash)).length, 1, "a changed route moves one chunk");
+});
