Mix the ranks evenly in the detection bench's flood

Cause: urgent requests left in a burst of a quarter of each second at twice the capacity, so over 1,400 of 1,680 counted as hurt, whatever the fleet did. Ruled out: shares (recent share of urgent 0.49 to 0.53 in the dump), refusals (none of urgent). Change: a low-discrepancy sequence, as in bench:flood.

--- a/bench/detection.bench.ts
+++ b/bench/detection.bench.ts
@@ -103,7 +103,8 @@
         requestsPerSecond: rate,
         durationMs: scenario.durationMs + 1_000,
         createRequest: index => {
-            const rank = index % rate < base || scenario.extraRequestsPerSecond === undefined ? "urgent" : "bulk";
+            // A low-discrepancy sequence (multiples of the golden ratio) mixes the ranks evenly.
+            const rank = ((index * 0.618_033_988_749_894_9) % 1) * rate < base ? "urgent" : "bulk";
             return { url: `http://${running.instances[index % running.instances.length]!.ports.caller}/${rank}/${index}`, label: rank, timeoutMs: deadlineMs + 1_000 };
         },
         onEnd: (request, result) => {
