--- a/test/peers/registers.property.test.ts
+++ b/test/peers/registers.property.test.ts
@@ -14,7 +14,7 @@
 }
 
 /** Sends a digest one way and the answer back, as the mesh does. */
-function exchange(from: registers.RegisterTable, to: registers.RegisterTable, now: number): void {
+function mergeBoth(from: registers.RegisterTable, to: registers.RegisterTable, now: number): void {
     to.mergeDigest(from.getDigest(), now).missingThere.forEach(register => from.mergeRegister(register, now));
     from.mergeDigest(to.getDigest(), now).missingThere.forEach(register => to.mergeRegister(register, now));
 }
@@ -33,11 +33,11 @@
                 if (write) {
                     tables[from]!.setOwn("topic", index);
                 }
-                exchange(tables[from]!, tables[to]!, index);
+                mergeBoth(tables[from]!, tables[to]!, index);
             });
             // A ring of links, walked often enough, carries everything everywhere.
             for (let round = 0; round < size; round += 1) {
-                tables.forEach((table, index) => exchange(table, tables[(index + 1) % size]!, 100));
+                tables.forEach((table, index) => mergeBoth(table, tables[(index + 1) % size]!, 100));
             }
             const views = tables.map(table => JSON.stringify(tables.map((_, index) => table.getBody(`i${index}`, "topic"))));
             return new Set(views).size === 1;
@@ -52,18 +52,18 @@
     const heard = new registers.RegisterTable({ selfId: "i9", incarnation: 1, deadAfterMs });
     heard.setOwn("topic", "value");
     heard.addHeartbeat(0);
-    exchange(heard, table, 0);
-    exchange(heard, lagging, 0);
+    mergeBoth(heard, table, 0);
+    mergeBoth(heard, lagging, 0);
     t.strictSame(table.removeDead(deadAfterMs + 1), ["i9"]);
-    exchange(lagging, table, deadAfterMs + 2);
+    mergeBoth(lagging, table, deadAfterMs + 2);
     t.notOk(table.listOrigins().includes("i9"), "a lagging peer does not bring it back");
     heard.addHeartbeat(deadAfterMs + 3);
-    exchange(heard, table, deadAfterMs + 3);
+    mergeBoth(heard, table, deadAfterMs + 3);
     t.equal(table.getBody("i9", "topic"), "value", "its own next heartbeat does");
     const restarted = new registers.RegisterTable({ selfId: "i9", incarnation: 2, deadAfterMs });
     restarted.setOwn("topic", "fresh");
-    exchange(restarted, table, deadAfterMs + 4);
+    mergeBoth(restarted, table, deadAfterMs + 4);
     t.equal(table.getBody("i9", "topic"), "fresh", "a later incarnation replaces it");
-    exchange(lagging, table, deadAfterMs + 5);
+    mergeBoth(lagging, table, deadAfterMs + 5);
     t.equal(table.getBody("i9", "topic"), "fresh", "and the earlier one does not come back");
 });
