Give up an overdue attempt at the age that detection holds against the upstream

Cause: the demo's upstream was never found to fail its trial. A read was given up after 250 ms, while detection, patient with an upstream on trial, counts from 750 ms on, so the attempt was taken for one cut short and said nothing; the same held for any service whose minimumStallMs is above 250. Ruled out: the window of 3 s, which the trial falls into. In the demo a trial still waited for the next instance's turn, since an order stuck at the upstream holds the one place.

--- a/src/detection/evidence.ts
+++ b/src/detection/evidence.ts
@@ -1,17 +1,11 @@
 /** What this instance has seen of each upstream in the last seconds. */
 
 import { z } from "zod";
-import type * as pool from "../pool/index.js";
+import * as pool from "../pool/index.js";
 
 /** The length of the window and of its parts, in milliseconds. */
 export const windowMs = 3_000;
 const bucketMs = 250;
-/** A request is overdue at this multiple of its route's median latency, or at the service's least stall time if that is more. */
-const overdueFactor = 6;
-/** The age at which a request of a route without history is overdue, in milliseconds. */
-const overdueWithoutHistoryMs = 2_000;
-/** How much more patient an instance is with an upstream that has just joined or come back. */
-const coldStartFactor = 3;
 /** Attempts gone wrong in a row from which an instance prefers other upstreams by itself. */
 const avoidAfterBad = 2;
 /** How long such a preference lasts, doubled with each further attempt up to the maximum, in milliseconds. */
@@ -77,10 +71,11 @@
      * @param route - The route's name.
      */
     getOverdueMs(target: pool.Upstream, route: string): number {
-        const median = this.options.getMedianMs(target.service, route);
-        const usual = median === undefined ? overdueWithoutHistoryMs : median * overdueFactor;
-        const patience = target.routability.kind === "recovering" || target.routability.kind === "trial" ? coldStartFactor : 1;
-        return Math.max(this.options.getMinimumStallMs(target.service), usual) * patience;
+        return pool.computeOverdueMs({
+            medianMs: this.options.getMedianMs(target.service, route),
+            minimumStallMs: this.options.getMinimumStallMs(target.service),
+            routability: target.routability.kind,
+        });
     }
 
     /**
--- a/src/requests/repeatable.ts
+++ b/src/requests/repeatable.ts
@@ -4,7 +4,7 @@
 import { match } from "ts-pattern";
 import type * as admission from "../admission/index.js";
 import * as errors from "../kernel/errors.js";
-import type * as pool from "../pool/index.js";
+import * as pool from "../pool/index.js";
 import type * as executorContext from "./executorContext.js";
 import * as headers from "./headers.js";
 import * as rangeResume from "./rangeResume.js";
@@ -15,12 +15,6 @@
 const maximumSent = 3;
 /** The most continuations of one body. */
 const maximumContinuations = 8;
-/** The least patience with an attempt while the route has no history, in milliseconds. */
-const patienceWithoutHistoryMs = 2_000;
-/** The least patience with an attempt, in milliseconds. */
-const minimumPatienceMs = 250;
-/** Patience as a multiple of the route's median latency. */
-const patienceFactor = 6;
 
 /** How a request ended, for logs and metrics. */
 export interface ExecutionSummary {
@@ -87,7 +81,7 @@
             signal: request.signal,
             extraHeaders,
             onDraining: () => shared.marks.addMark(target),
-            getPatience: ageMs => getPatience(shared, request, progress, ageMs),
+            getPatience: ageMs => getPatience(shared, request, progress, target, ageMs),
         });
         const next = match(result)
             .with({ kind: "answered" }, ({ response }): OpenResult | "again" => receiveAnswer(shared, request, progress, slot.value, response))
@@ -107,13 +101,17 @@
 }
 
 /** Returns how long to wait on: an overdue attempt is given up only where a retry may replace it. */
-function getPatience(shared: executorContext.ExecutorContext, request: types.FleetRequest, progress: Progress, ageMs: number): number | "over" {
+function getPatience(shared: executorContext.ExecutorContext, request: types.FleetRequest, progress: Progress, target: pool.Upstream, ageMs: number): number | "over" {
     const remainingMs = request.deadlineAt - shared.context.clock.getNow();
     if (remainingMs <= 0) {
         return "over";
     }
-    const median = shared.latencies.getQuantile(request.route.service, request.route.name, 0.5);
-    const patienceMs = median === undefined ? patienceWithoutHistoryMs : Math.max(minimumPatienceMs, median * patienceFactor);
+    // The same age as detection's: given up earlier, the attempt would be no evidence.
+    const patienceMs = pool.computeOverdueMs({
+        medianMs: shared.latencies.getQuantile(request.route.service, request.route.name, 0.5),
+        minimumStallMs: shared.getServiceDefinition(request.route.service)?.minimumStallMs ?? 0,
+        routability: target.routability.kind,
+    });
     if (ageMs < patienceMs) {
         return Math.min(remainingMs, patienceMs - ageMs);
     }
