Name no instance to callers before it has a configuration

Change: entries answers leave out members whose version is 0. Ruled out: waiting in start(), since a fleet without any configuration must open its ports to be given one.

--- a/src/callers/entries.ts
+++ b/src/callers/entries.ts
@@ -20,12 +20,13 @@
 }
 
 /**
- * Lists the running instances: those of the caller's failure domain first, then by the workspace's rendezvous scores.
+ * Lists the running instances that have a configuration: those of the caller's failure domain first, then by the
+ * workspace's rendezvous scores.
  * @param options - The members and the caller.
  */
 export function listEntries(options: ListEntriesOptions): readonly Entry[] {
     return options.members
-        .filter(member => member.state === "running")
+        .filter(member => member.state === "running" && member.configurationVersion > 0)
         .map(member => ({
             member,
             isNear: member.failureDomain === options.failureDomain,
