--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,7 +10,7 @@
 const verbPattern = `^(${verbs.join("|")})([A-Z0-9]|$)`;
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**", ".tap/**", "tap-snapshots/**", "**/*_pb.ts", "**/*.mjs"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**", ".tap/**", "tap-snapshots/**", "**/*_pb.ts", "**/*.mjs"] },
     ...tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
@@ -24,6 +24,7 @@
                 { selector: "import", format: ["camelCase", "PascalCase"] },
                 { selector: "typeLike", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
                 { selector: ["objectLiteralProperty", "typeProperty"], format: null },
+                { selector: "classMethod", modifiers: ["override"], format: null },
                 { selector: ["function", "classMethod", "typeMethod"], format: ["camelCase"], custom: { regex: verbPattern, match: true } },
             ],
             "no-restricted-syntax": [
@@ -44,7 +45,7 @@
         },
     },
     {
-        files: ["src/**/*.ts"],
+        files: ["src/**/*.ts", "platform/**/*.ts"],
         plugins: { jsdoc },
         rules: {
             "jsdoc/require-jsdoc": ["error", {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -16,6 +16,17 @@
     banner: { js: "#!/usr/bin/env node\nconst importMetaUrl=require(\"node:url\").pathToFileURL(__filename).href;" },
 });
 fs.chmodSync("dist/agatebend.cjs", 0o755);
+if (process.argv.includes("--platform")) {
+    await build({
+        ...shared,
+        entryPoints: ["platform/main.ts"],
+        format: "cjs",
+        minify: true,
+        outfile: "target/agatebend.cjs",
+        define: { "import.meta.url": "importMetaUrl", "process.env.CBOR_NATIVE_ACCELERATION_DISABLED": "\"true\"" },
+        banner: { js: "const importMetaUrl=require(\"node:url\").pathToFileURL(__filename).href;" },
+    });
+}
 if (process.argv.includes("--test")) {
     const banner = { js: "import { createRequire as createBundleRequire } from \"node:module\"; const require = createBundleRequire(import.meta.url);" };
     const entryPoints = ["test/standins/main.ts", ...fs.readdirSync("bench").filter(name => name.endsWith(".bench.ts")).map(name => `bench/${name}`), "scripts/demo.ts", "scripts/generateDocs.ts"];
--- a/scripts/generateDocs.ts
+++ b/scripts/generateDocs.ts
@@ -1,7 +1,6 @@
 /** Writes the pages that are made from schemas and tables; with --check, fails where one is not current. */
 
 import * as fs from "node:fs";
-import { Code } from "@connectrpc/connect";
 import { z } from "zod";
 import * as configuration from "../src/configuration/index.js";
 import * as errors from "../src/kernel/errors.js";
@@ -19,7 +18,7 @@
 }
 
 function createErrorsPage(): string {
-    const rows = Object.entries(errors.answers).map(([kind, answer]) => `| \`${kind}\` | ${answer.status} | ${Code[answer.code]} | ${answer.outcome} | ${answer.retry} | ${answer.meaning} |`);
+    const rows = Object.entries(errors.answers).map(([kind, answer]) => `| \`${kind}\` | ${answer.status} | ${answer.code} | ${answer.outcome} | ${answer.retry} | ${answer.meaning} |`);
     const explanation = [
         "The outcome says whether the request has run at an upstream. With an order key it speaks of the key: `not-executed` means that no request with the key has run or will run.",
         "",
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -16,6 +16,7 @@
     readonly pool: pool.Pool;
     readonly configuration: configuration.ConfigurationService;
     readonly allowance: types.Allowance;
+    readonly chooseUpstream: types.ChooseUpstream;
 }
 
 /** Admits requests to services. */
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -6,13 +6,15 @@
 import * as pool from "../pool/index.js";
 import * as admission from "./admission.js";
 import * as pressure from "./pressure.js";
+import * as standing from "../standing/index.js";
+import type * as types from "./types.js";
 
 export { Admission, admissionKey } from "./admission.js";
 export type { Allowance, RankDemand, Slot, SlotRequest } from "./types.js";
 
 plugins.registerPlugin({
     name: "admission",
-    dependsOn: ["configuration", "peers", "pool"],
+    dependsOn: ["configuration", "peers", "pool", "standing"],
     create: shared => {
         const upstreamPool = shared.services.getService(pool.poolKey);
         const configurations = shared.services.getService(configuration.configurationKey);
@@ -23,7 +25,11 @@
             configuration: configurations,
             getDemand: () => created.getDemand(),
         });
-        const created: admission.Admission = new admission.Admission({ context: shared, pool: upstreamPool, configuration: configurations, allowance });
+        const byLoad: types.ChooseUpstream = (request, upstreams, now) =>
+            pool.chooseUpstream({ upstreams, now, randomness: shared.randomness, isRepeatable: request.isRepeatable, excluded: request.excluded, home: allowance.getHome(request.service) });
+        const fleetStanding = shared.services.findService(standing.standingKey);
+        const chooseUpstream: types.ChooseUpstream = fleetStanding === undefined ? byLoad : (request, upstreams, now) => fleetStanding.chooseUpstream({ ...request, upstreams, now });
+        const created: admission.Admission = new admission.Admission({ context: shared, pool: upstreamPool, configuration: configurations, allowance, chooseUpstream });
         shared.services.setService(admission.admissionKey, created);
         return { start: async () => allowance.start(), getDump: () => ({ queues: created.getDump(), parts: allowance.getDump() }) };
     },
--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -6,7 +6,7 @@
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import type * as loop from "../kernel/loop.js";
-import * as pool from "../pool/index.js";
+import type * as pool from "../pool/index.js";
 import * as shareLedger from "./shareLedger.js";
 import type * as types from "./types.js";
 
@@ -24,6 +24,7 @@
     readonly service: string;
     readonly ranks: readonly configuration.RankDefinition[];
     readonly allowance: types.Allowance;
+    readonly chooseUpstream: types.ChooseUpstream;
 }
 
 interface Waiting {
@@ -160,14 +161,7 @@
         const servicePool = this.options.pool.getServicePool(this.options.service);
         const queue = this.queues[rank]!;
         for (const [index, waiting] of queue.slice(0, lookAhead).entries()) {
-            const chosen = pool.chooseUpstream({
-                upstreams: servicePool?.upstreams ?? [],
-                now,
-                randomness: this.options.context.randomness,
-                isRepeatable: waiting.request.isRepeatable,
-                excluded: waiting.request.excluded,
-                home: this.options.allowance.getHome(this.options.service),
-            });
+            const chosen = this.options.chooseUpstream(waiting.request, servicePool?.upstreams ?? [], now);
             if (chosen !== undefined) {
                 queue.splice(index, 1);
                 this.startWaiting(waiting, chosen, now);
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -10,6 +10,8 @@
     readonly rankIndex: number;
     readonly feature: string | undefined;
     readonly isRepeatable: boolean;
+    /** Whether the request may be sent once more if this attempt fails. */
+    readonly canRepeat: boolean;
     /** Whether an earlier attempt of the same request held a slot; it goes before its rank's others. */
     readonly isRetry: boolean;
     /** Monotonic milliseconds. */
@@ -38,6 +40,9 @@
     readonly inFlight: number;
 }
 
+/** Chooses the upstream of a waiting request; undefined where none has room for it. */
+export type ChooseUpstream = (request: SlotRequest, upstreams: readonly pool.Upstream[], now: number) => pool.Upstream | undefined;
+
 /** What the fleet leaves to this instance while a service is overloaded. */
 export interface Allowance {
     /** Returns whether a rank may take another slot of a service. */
--- a/src/callers/answer.ts
+++ b/src/callers/answer.ts
@@ -7,6 +7,8 @@
 import * as requests from "../requests/index.js";
 
 const { fleetHeaders } = requests;
+/** When a refused request may be repeated where nothing better is known, in milliseconds. */
+const retryAfterMs = 200;
 
 /**
  * Writes an error as JSON; nothing where an answer has begun.
@@ -20,10 +22,13 @@
         return;
     }
     const answer = errors.getAnswer(error);
+    const isPromise = answer.status === 503 || answer.status === 429;
+    const retryAfter = isPromise && answer.retry !== "no" ? { "retry-after": ((error.retryAfterMs ?? retryAfterMs) / 1_000).toString() } : {};
     const body = `${JSON.stringify({ error: error.kind, message: error.message, outcome: answer.outcome, retry: answer.retry })}\n`;
     response.writeHead(answer.status, {
         "content-type": "application/json",
         "content-length": Buffer.byteLength(body),
+        ...retryAfter,
         [fleetHeaders.outcome]: answer.outcome,
         [fleetHeaders.error]: error.kind,
         [fleetHeaders.retry]: answer.retry,
--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -2,6 +2,7 @@
 
 import * as http from "node:http";
 import type * as net from "node:net";
+import type * as configuration from "../configuration/index.js";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import type * as orders from "../orders/index.js";
@@ -58,6 +59,15 @@
         this.server.on("clientError", (error, socket) => this.rejectClient(error, socket as net.Socket));
     }
 
+    /**
+     * Takes over the limits of the configuration.
+     * @param limits - What bounds callers' connections.
+     */
+    setLimits({ headerTimeoutMs, idleTimeoutMs }: configuration.ConfigurationDocument["limits"]): void {
+        this.server.headersTimeout = headerTimeoutMs ?? this.options.context.settings.headerTimeoutMs;
+        this.server.keepAliveTimeout = idleTimeoutMs ?? this.options.context.settings.entriesTtlMs;
+    }
+
     /** Opens the port and tells the peers. */
     async start(): Promise<void> {
         const { context: { settings: values, logger }, mesh } = this.options;
--- a/src/callers/entries.ts
+++ b/src/callers/entries.ts
@@ -10,6 +10,11 @@
     readonly failureDomain: string;
 }
 
+/** A failure domain with fewer instances than this does not serve its callers alone. */
+const minimumNear = 2;
+/** The most addresses of an answer. */
+const maximumAddresses = 64;
+
 /** The order in which a caller should try the fleet. */
 export interface ListEntriesOptions {
     readonly members: readonly peers.Member[];
@@ -35,3 +40,13 @@
         .sort((a, b) => Number(b.isNear) - Number(a.isNear) || b.score - a.score)
         .map(({ member }) => ({ address: member.callerAddress, instanceId: member.instanceId, failureDomain: member.failureDomain }));
 }
+
+/**
+ * Lists the addresses among which a caller may choose at random: those of its own failure domain, where they suffice.
+ * @param entries - The entries in the caller's order.
+ * @param failureDomain - The caller's failure domain.
+ */
+export function listAddresses(entries: readonly Entry[], failureDomain: string): readonly string[] {
+    const near = entries.filter(entry => entry.failureDomain === failureDomain);
+    return (near.length >= minimumNear ? near : entries).slice(0, maximumAddresses).map(entry => entry.address);
+}
--- a/src/callers/handler.ts
+++ b/src/callers/handler.ts
@@ -1,7 +1,7 @@
 /** Handles callers' requests: entries answers, and requests on their way to upstreams. */
 
 import type * as http from "node:http";
-import type * as configuration from "../configuration/index.js";
+import * as configuration from "../configuration/index.js";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import type * as kernel from "../kernel/kernel.js";
@@ -34,11 +34,13 @@
     private readonly metrics: callerMetrics.CallerMetrics;
     private readonly bodies: readBody.BodyReader;
     private readonly retired = new retiredCalls.RetiredCallLog();
+    private readonly splitter: configuration.Splitter;
     private inFlight = 0;
 
     constructor(private readonly options: CreateHandlerOptions) {
         this.metrics = new callerMetrics.CallerMetrics(options.context);
         this.bodies = new readBody.BodyReader(options.context);
+        this.splitter = new configuration.Splitter(options.context.randomness);
     }
 
     /** Returns the requests under way. */
@@ -59,11 +61,9 @@
     async handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         this.inFlight += 1;
         try {
-            if (request.method === "GET" && (request.url === entriesPath || request.url?.startsWith(`${entriesPath}?`))) {
-                this.answerEntries(request, response);
-                return;
+            if (!this.handleEntries(request, response)) {
+                await this.handleProxied(request, response);
             }
-            await this.handleProxied(request, response);
         }
         catch (thrown) {
             this.options.context.logger.writeError("request-failed", "handling a request threw", { error: errors.getThrownMessage(thrown) });
@@ -75,14 +75,36 @@
         }
     }
 
+    /**
+     * Answers where callers should connect; returns whether the request asks for that.
+     * @param request - The request.
+     * @param response - Its answer.
+     */
+    handleEntries(request: http.IncomingMessage, response: http.ServerResponse): boolean {
+        const isEntries = request.method === "GET" && (request.url === entriesPath || request.url?.startsWith(`${entriesPath}?`) === true);
+        if (isEntries) {
+            this.answerEntries(request, response);
+        }
+        return isEntries;
+    }
+
+    /** Returns whether callers may be sent here. */
+    isReady(): boolean {
+        const { lifecycle, configuration: configurations } = this.options;
+        return lifecycle.getState() === "running" && configurations.getCurrent() !== undefined && !configurations.isStale();
+    }
+
     private answerEntries(request: http.IncomingMessage, response: http.ServerResponse): void {
         const { mesh, orders: orderService, configuration: configurations, lifecycle, context: { settings } } = this.options;
         const query = new URL(request.url ?? "", "http://fleet").searchParams;
         const isRunning = lifecycle.getState() === "running" && !configurations.isStale();
         const prefix = isRunning ? orderService.createPrefix() : undefined;
+        const listed = entries.listEntries({ members: mesh.listMembers(), workspace: query.get("workspace") ?? "", failureDomain: query.get("failureDomain") ?? "" });
         answer.writeJson(response, {
-            entries: entries.listEntries({ members: mesh.listMembers(), workspace: query.get("workspace") ?? "", failureDomain: query.get("failureDomain") ?? "" }),
+            entries: listed,
+            addresses: entries.listAddresses(listed, query.get("failureDomain") ?? ""),
             keepForMs: settings.entriesTtlMs,
+            keepForS: settings.entriesTtlMs / 1_000,
             orderKeyPrefix: prefix?.prefix,
             orderKeyPrefixValidMs: prefix?.validMs,
             configurationVersion: configurations.getCurrent()?.head.version ?? 0,
@@ -110,12 +132,13 @@
             await this.rejectRequest(request, response, keyText.value, parsed.error);
             return;
         }
-        const { route, feature, workspace } = parsed.value;
+        const { feature, workspace, requestId } = parsed.value;
+        const route = this.splitter.chooseRoute(parsed.value.route);
         if (this.isRetired(feature)) {
             await this.rejectRetired(request, response, keyText.value, parsed.value);
             return;
         }
-        const body = await this.bodies.readBody(request);
+        const body = await this.bodies.readBody(request, compiled.document.limits.bodyBytes);
         if (body.isErr()) {
             await this.rejectRequest(request, response, keyText.value, body.error);
             return;
@@ -128,7 +151,10 @@
             route,
             workspace,
             feature,
-            deadlineAt: startedAt + parsed.value.deadlineMs,
+            deadlineAt: startedAt + Math.min(parsed.value.deadlineMs, route.timeoutMs ?? Infinity),
+            requestId,
+            deadlineHeader: compiled.document.callerHeaders.deadline,
+            isKept: false,
             signal: createCallerSignal(response),
         };
         try {
--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -9,6 +9,7 @@
 import * as requests from "../requests/index.js";
 import * as callerServer from "./callerServer.js";
 import * as handler from "./handler.js";
+import * as sidePorts from "./sidePorts.js";
 
 export type { Handler } from "./handler.js";
 
@@ -31,10 +32,18 @@
         });
         shared.services.setService(handlerKey, created);
         const server = new callerServer.CallerServer({ context: shared, handler: created, mesh, orders: orderService });
+        const side = new sidePorts.SidePorts({ context: shared, handler: created });
+        shared.services.getService(configuration.configurationKey).addListener(({ document }) => server.setLimits(document.limits));
         return {
-            start: () => server.start(),
+            start: async () => {
+                await server.start();
+                await side.start();
+            },
             drain: () => server.drain(),
-            stop: () => server.stop(),
+            stop: async () => {
+                await server.stop();
+                await side.stop();
+            },
             getDump: () => ({ inFlight: created.getInFlight(), retiredCalls: created.getRetiredCalls() }),
         };
     },
--- a/src/callers/parseRequest.ts
+++ b/src/callers/parseRequest.ts
@@ -16,8 +16,13 @@
     readonly workspace: string;
     readonly feature: string | undefined;
     readonly deadlineMs: number;
+    /** For logs; empty where the caller sent none. */
+    readonly requestId: string;
 }
 
+/** The longest request identifier that is written to logs. */
+const maximumIdLength = 128;
+
 /**
  * Parses a request's headers.
  * @param request - The request.
@@ -29,13 +34,13 @@
     if (!path.startsWith("/")) {
         return err(errors.createError("badRequest", `the request target ${JSON.stringify(path.slice(0, 80))} must begin with /`));
     }
-    const route = configuration.findRoute(compiled, method, path);
+    const route = configuration.findRoute(compiled, { method, host: parseHost(request.headers.host), path });
     if (route === undefined) {
         return err(errors.createError("routeNotFound", `no route matches ${method} ${path.slice(0, 200)}`));
     }
     const workspace = parseName(request, requests.fleetHeaders.workspace);
     const feature = parseName(request, requests.fleetHeaders.feature);
-    const deadlineMs = parseDeadline(request, route);
+    const deadlineMs = parseDeadline(request, route, compiled.document.callerHeaders.deadline);
     if (workspace.isErr()) {
         return err(workspace.error);
     }
@@ -45,7 +50,7 @@
     if (deadlineMs.isErr()) {
         return err(deadlineMs.error);
     }
-    return ok({ route, workspace: workspace.value ?? "", feature: feature.value ?? route.feature, deadlineMs: deadlineMs.value });
+    return ok({ route, workspace: workspace.value ?? "", feature: feature.value ?? route.feature, deadlineMs: deadlineMs.value, requestId: parseRequestId(request, compiled) });
 }
 
 /**
@@ -65,13 +70,28 @@
     });
 }
 
-function parseDeadline(request: http.IncomingMessage, route: configuration.CompiledRoute): Result<number, errors.FleetError> {
-    return parseSingleHeader(request, requests.fleetHeaders.deadline).andThen(value => {
+/** Returns the host that a caller named, in lower case and without its port. */
+function parseHost(text: string | undefined): string | undefined {
+    return text?.replace(/:\d+$/, "").toLowerCase();
+}
+
+/**
+ * Returns a request's identifier for logs; empty where it has none.
+ * @param request - The request.
+ * @param compiled - The configuration in force, if any.
+ */
+export function parseRequestId(request: http.IncomingMessage, compiled: configuration.CompiledConfiguration | undefined): string {
+    const value = compiled === undefined ? undefined : request.headers[compiled.document.callerHeaders.requestId];
+    return typeof value === "string" ? value.slice(0, maximumIdLength) : "";
+}
+
+function parseDeadline(request: http.IncomingMessage, route: configuration.CompiledRoute, header: string): Result<number, errors.FleetError> {
+    return parseSingleHeader(request, header).andThen(value => {
         if (value === undefined) {
             return ok(route.deadlineMs);
         }
         const deadlineMs = /^\d{1,7}$/.test(value) ? Number(value) : NaN;
         const isGood = deadlineMs >= 1 && deadlineMs <= maximumDeadlineMs;
-        return isGood ? ok(deadlineMs) : err(errors.createError("badRequest", `the header ${requests.fleetHeaders.deadline} must be a whole number of milliseconds from 1 to ${maximumDeadlineMs}`));
+        return isGood ? ok(deadlineMs) : err(errors.createError("badRequest", `the header ${header} must be a whole number of milliseconds from 1 to ${maximumDeadlineMs}`));
     });
 }
--- a/src/callers/readBody.ts
+++ b/src/callers/readBody.ts
@@ -19,13 +19,15 @@
     /**
      * Reads a body whole.
      * @param request - The request.
+     * @param limitBytes - The configuration's limit; the instance's own holds besides.
      * @returns The body and the function that gives its memory back.
      */
-    readBody(request: http.IncomingMessage): Promise<Result<{ readonly body: Buffer; readonly release: () => void; }, errors.FleetError>> {
+    readBody(request: http.IncomingMessage, limitBytes = Infinity): Promise<Result<{ readonly body: Buffer; readonly release: () => void; }, errors.FleetError>> {
         const { settings, loop } = this.shared;
+        const maximumBytes = Math.min(limitBytes, settings.requestBodyBytes);
         const announced = Number(request.headers["content-length"] ?? 0);
-        if (announced > settings.requestBodyBytes) {
-            return Promise.resolve(err(createTooLarge(settings.requestBodyBytes)));
+        if (announced > maximumBytes) {
+            return Promise.resolve(err(createTooLarge(maximumBytes)));
         }
         return new Promise(resolve => {
             const parts: Buffer[] = [];
@@ -55,8 +57,8 @@
                 bytes += chunk.length;
                 this.heldBytes += chunk.length;
                 parts.push(chunk);
-                if (bytes > settings.requestBodyBytes) {
-                    fail(createTooLarge(settings.requestBodyBytes));
+                if (bytes > maximumBytes) {
+                    fail(createTooLarge(maximumBytes));
                 }
                 else if (this.heldBytes > settings.requestBytesHeld) {
                     fail(errors.createError("overloaded", `request bodies hold ${settings.requestBytesHeld} bytes already`));
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -6,6 +6,7 @@
 import * as exitStatus from "./exitStatus.js";
 import * as follow from "./follow.js";
 import * as serve from "./serve.js";
+import * as settingsFile from "./settingsFile.js";
 
 const variablePrefix = "AGATEBEND_";
 
@@ -117,6 +118,6 @@
 }
 
 function listUnknownVariables(): readonly string[] {
-    const known = new Set([...settings.listSettingNames().map(settings.getEnvironmentVariable), ...Object.keys({ ...clientFlags, ...changeFlags }).map(getClientVariable)]);
+    const known = new Set([settingsFile.settingsFileVariable, ...settings.listSettingNames().map(settings.getEnvironmentVariable), ...Object.keys({ ...clientFlags, ...changeFlags }).map(getClientVariable)]);
     return Object.keys(process.env).filter(variable => variable.startsWith(variablePrefix) && !known.has(variable));
 }
--- a/src/configuration/checkDocument.ts
+++ b/src/configuration/checkDocument.ts
@@ -1,11 +1,13 @@
 /** Checks a configuration document: its schema first, then what its parts say of each other. */
 
 import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
 import * as errors from "../kernel/errors.js";
 import * as settings from "../settings/index.js";
 import * as schema from "./schema.js";
 
 const maximumReported = 20;
+const envelopeSchema = z.strictObject({ version: z.number().int().positive(), document: z.unknown() });
 
 /**
  * Checks a document.
@@ -29,14 +31,27 @@
  * @param text - JSON.
  */
 export function parseDocument(text: string): Result<schema.ConfigurationDocument, errors.FleetError> {
-    let input: unknown;
+    return parseJson(text).andThen(checkDocument);
+}
+
+/**
+ * Parses a document that stands beside its version; the document itself is not checked.
+ * @param text - JSON.
+ */
+export function parseEnvelope(text: string): Result<z.infer<typeof envelopeSchema>, errors.FleetError> {
+    return parseJson(text).andThen(input => {
+        const parsed = envelopeSchema.safeParse(input);
+        return parsed.success ? ok(parsed.data) : createFailure(parsed.error.issues.map(issue => settings.formatIssue(issue, input)));
+    });
+}
+
+function parseJson(text: string): Result<unknown, errors.FleetError> {
     try {
-        input = JSON.parse(text);
+        return ok(JSON.parse(text));
     }
     catch (thrown) {
         return err(errors.createError("configurationInvalid", `the document is not JSON: ${errors.getThrownMessage(thrown)}`));
     }
-    return checkDocument(input);
 }
 
 function createFailure(problems: readonly string[]): Result<never, errors.FleetError> {
@@ -72,12 +87,10 @@
 function checkRoutes(document: schema.ConfigurationDocument): readonly string[] {
     const ranks = new Set(document.ranks.map(rank => rank.name));
     const problems = listRepeated(document.routes.map(route => route.name)).map(name => `routes: the name ${name} is used twice; names must differ`);
-    const matches = document.routes.flatMap(route => route.methods.map(method => `${method} ${route.pathPrefix}`));
+    const matches = document.routes.flatMap(route => listHosts(route).flatMap(host => route.methods.map(method => `${method} ${host}${route.pathPrefix}`)));
     problems.push(...listRepeated(matches).map(match => `routes: two routes match ${match}; one of them must go`));
     for (const [index, route] of document.routes.entries()) {
-        if (!Object.hasOwn(document.services, route.service)) {
-            problems.push(`routes.${index}.service: value "${route.service}": no such service; allowed: ${Object.keys(document.services).join(", ")}`);
-        }
+        problems.push(...checkTargets(route, `routes.${index}`, document));
         if (!ranks.has(route.rank)) {
             problems.push(`routes.${index}.rank: value "${route.rank}": no such rank; allowed: ${[...ranks].join(", ")}`);
         }
@@ -85,6 +98,21 @@
     return problems;
 }
 
+function checkTargets(route: schema.RouteDefinition, field: string, document: schema.ConfigurationDocument): readonly string[] {
+    if ((route.service === undefined) === (route.split.length === 0)) {
+        return [`${field}: give either service or split`];
+    }
+    const allowed = Object.keys(document.services).join(", ");
+    const named = route.service === undefined ? route.split.map((part, index) => ({ at: `${field}.split.${index}.service`, service: part.service })) : [{ at: `${field}.service`, service: route.service }];
+    const problems = named.filter(({ service }) => !Object.hasOwn(document.services, service)).map(({ at, service }) => `${at}: value "${service}": no such service; allowed: ${allowed}`);
+    const weight = route.split.reduce((sum, part) => sum + part.weight, 0);
+    return route.split.length > 0 && weight === 0 ? [...problems, `${field}.split: every weight is 0; give at least one part a weight above 0`] : problems;
+}
+
+function listHosts(route: schema.RouteDefinition): readonly string[] {
+    return route.hosts.length === 0 ? [""] : route.hosts;
+}
+
 function listRepeated(values: readonly string[]): string[] {
     const seen = new Set<string>();
     const repeated = new Set<string>();
--- a/src/configuration/chunks.ts
+++ b/src/configuration/chunks.ts
@@ -10,6 +10,7 @@
 
 const ranksName = "ranks";
 const retiredName = "retired";
+const callersName = "callers";
 const servicePrefix = "service:";
 const routesPrefix = "routes:";
 
@@ -53,6 +54,7 @@
     return [
         createChunk(ranksName, document.ranks),
         createChunk(retiredName, [...document.retiredFeatures].sort()),
+        createChunk(callersName, { callerHeaders: document.callerHeaders, limits: document.limits }),
         ...Object.entries(document.services).map(([name, service]) => createChunk(`${servicePrefix}${name}`, service)),
         ...[...groups].map(([group, routes]) => createChunk(`${routesPrefix}${group}`, routes)),
     ];
@@ -68,6 +70,7 @@
     return {
         ranks: byName.get(ranksName),
         retiredFeatures: byName.get(retiredName),
+        ...byName.get(callersName) as object | undefined,
         services: Object.fromEntries(parsed.filter(([name]) => name.startsWith(servicePrefix)).map(([name, value]) => [name.slice(servicePrefix.length), value])),
         routes: parsed.filter(([name]) => name.startsWith(routesPrefix)).flatMap(([, value]) => value as readonly unknown[]),
     };
--- a/src/configuration/configurationService.ts
+++ b/src/configuration/configurationService.ts
@@ -5,11 +5,13 @@
 import * as errors from "../kernel/errors.js";
 import * as services from "../kernel/services.js";
 import type * as peers from "../peers/index.js";
-import type * as store from "../store/index.js";
+import * as store from "../store/index.js";
 import * as changeWriter from "./changeWriter.js";
 import * as checkDocument from "./checkDocument.js";
+import * as chunks from "./chunks.js";
 import type * as compiled from "./compiled.js";
 import * as configurationState from "./configurationState.js";
+import type * as externalSource from "./externalSource.js";
 import * as freshness from "./freshness.js";
 import * as peerSync from "./peerSync.js";
 import type * as schema from "./schema.js";
@@ -43,6 +45,8 @@
     private readonly peerSync: peerSync.PeerSync;
     private readonly storeSync: storeSync.StoreSync;
     private readonly freshness: freshness.Freshness;
+    private readonly follower: store.PrefixFollower;
+    private parseExternal: externalSource.ParseConfiguration | undefined;
 
     constructor(private readonly options: CreateConfigurationServiceOptions) {
         const { context: shared, store: platform, mesh } = options;
@@ -50,20 +54,38 @@
         this.freshness = new freshness.Freshness({ staleAfterMs: shared.settings.staleAfterMs }, shared.clock.getNow());
         this.writer = new changeWriter.ChangeWriter({ store: platform, getVersionInForce: () => state.getVersion(), getHeadInForce: () => state.getCurrent()?.head });
         this.peerSync = new peerSync.PeerSync({ context: shared, mesh, state });
+        this.follower = new store.PrefixFollower({ context: shared, store: platform, prefix: shared.settings.configurationKey, onChange: entries => this.receiveExternal(entries.get(shared.settings.configurationKey)) });
         this.storeSync = new storeSync.StoreSync({ context: shared, store: platform, mesh, state, writer: this.writer, isIsolated: () => this.freshness.isUnconfirmed(shared.clock.getNow()) });
     }
 
-    /** Begins to follow the store and the peers. */
-    start(): void {
+    /**
+     * Begins to follow the store and the peers.
+     * @param parseExternal - Parses a configuration that another program writes.
+     */
+    start(parseExternal: externalSource.ParseConfiguration): void {
         const { loop } = this.options.context;
+        this.parseExternal = parseExternal;
         this.peerSync.start();
-        this.storeSync.start();
+        if (this.isExternal()) {
+            this.follower.start();
+        }
+        else {
+            this.storeSync.start();
+        }
         loop.scheduleRepeatedly(freshnessIntervalMs, () => this.recordFreshness());
     }
 
     /** Stops following. */
     stop(): void {
         this.storeSync.stop();
+        this.follower.stop();
+    }
+
+    /** Reads the configuration again, as after a time in which the process stood still. */
+    readAgain(): void {
+        if (this.isExternal()) {
+            this.follower.readAgain();
+        }
     }
 
     /** Returns the configuration in force. */
@@ -146,6 +168,9 @@
 
     private async writeDocument(document: schema.ConfigurationDocument, baseVersion: number, changeId: string): Promise<Result<ChangeResult, errors.FleetError>> {
         const { logger, randomness } = this.options.context;
+        if (this.isExternal()) {
+            return err(errors.createError("configurationElsewhere"));
+        }
         const id = changeId === "" ? randomness.getIdentifier(8) : changeId;
         const accepted = await this.writer.writeChange({ document, baseVersion, changeId: id });
         if (accepted.isErr()) {
@@ -161,6 +186,29 @@
         return ok({ version: head.version, changeId: id });
     }
 
+    private isExternal(): boolean {
+        return this.options.context.settings.configurationKey !== "";
+    }
+
+    private receiveExternal(entry: store.Entry | undefined): void {
+        const { logger, settings } = this.options.context;
+        if (entry === undefined || this.parseExternal === undefined) {
+            return;
+        }
+        const adopted = this.parseExternal(entry.value).andThen(({ version, document }) => {
+            const split = chunks.createChunks(document);
+            const head = { version, changeId: `revision-${entry.revision}`, chunks: Object.fromEntries(split.map(chunk => [chunk.name, chunk.hash])), recent: [] };
+            return this.state.setCurrent(head, new Map(split.map(chunk => [chunk.hash, chunk.text])));
+        });
+        if (adopted.isErr()) {
+            logger.writeError("configuration-refused", `the value of ${settings.configurationKey} is left out: ${adopted.error.message}`, { key: settings.configurationKey, revision: entry.revision, kind: adopted.error.kind });
+            return;
+        }
+        if (adopted.value) {
+            logger.writeInfo("configuration-in-force", `version ${this.state.getVersion()} is in force`, { version: this.state.getVersion(), revision: entry.revision, source: "store" });
+        }
+    }
+
     private async readNewer(): Promise<void> {
         const stored = await this.writer.readHead();
         const head = stored.isOk() ? stored.value.head : undefined;
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -5,11 +5,14 @@
 import * as peers from "../peers/index.js";
 import * as store from "../store/index.js";
 import * as configurationService from "./configurationService.js";
+import * as externalSource from "./externalSource.js";
 
 export { checkDocument, parseDocument } from "./checkDocument.js";
 export { type CompiledConfiguration, type CompiledRoute, findRoute } from "./compiled.js";
 export { configurationKey, type ConfigurationService } from "./configurationService.js";
-export { type ConfigurationDocument, documentSchema, type RankDefinition, type RouteDefinition, type ServiceDefinition, type UpstreamDefinition } from "./schema.js";
+export { type ExternalConfiguration, type ParseConfiguration, parseConfigurationKey } from "./externalSource.js";
+export { type ConfigurationDocument, documentSchema, type RankDefinition, type RouteDefinition, type ServiceDefinition, type UpstreamDefinition, upstreamSchema } from "./schema.js";
+export { Splitter } from "./splitter.js";
 
 plugins.registerPlugin({
     name: "configuration",
@@ -23,7 +26,7 @@
         shared.services.setService(configurationService.configurationKey, service);
         return {
             start: async () => {
-                service.start();
+                service.start(shared.services.findService(externalSource.parseConfigurationKey) ?? externalSource.parseOwnConfiguration);
                 if (shared.settings.configuration !== "") {
                     await applyInitialFile(service, shared.settings.configuration);
                 }
--- a/src/detection/index.ts
+++ b/src/detection/index.ts
@@ -9,6 +9,9 @@
     name: "detection",
     dependsOn: ["peers", "pool"],
     create: shared => {
+        if (shared.settings.detection === "fresh") {
+            return {};
+        }
         const created = new detection.Detection({
             context: shared,
             pool: shared.services.getService(pool.poolKey),
--- /dev/null
+++ b/src/discovery/directory.ts
@@ -0,0 +1,106 @@
+/** Follows the directory in which upstreams register themselves. */
+
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import * as configuration from "../configuration/index.js";
+import type * as context from "../kernel/context.js";
+import * as errors from "../kernel/errors.js";
+import * as services from "../kernel/services.js";
+import type * as pool from "../pool/index.js";
+import * as store from "../store/index.js";
+
+/** An upstream that an entry names. */
+export type Found = pool.DiscoveredUpstream;
+
+/** Parses an entry of the directory. */
+export type ParseEntry = (key: string, text: string) => Result<Found, errors.FleetError>;
+
+/** The key of the parser; without one, entries are `{"service": NAME, "definition": {...}}` in the product's own form. */
+export const parseEntryKey = services.createKey<ParseEntry>("parseEntry");
+
+const entrySchema = z.strictObject({ service: z.string(), definition: configuration.upstreamSchema });
+
+/** Options of a directory. */
+export interface CreateDirectoryOptions {
+    readonly context: context.Context;
+    readonly store: store.StoreService;
+    readonly pool: pool.Pool;
+}
+
+/** Keeps the pool as the directory says. */
+export class Directory {
+    private readonly follower: store.PrefixFollower;
+    private parseEntry: ParseEntry = parseOwnEntry;
+    /** What each entry says, by key, so that only changed entries are parsed again. */
+    private parsed = new Map<string, { readonly entry: store.Entry; readonly found: Found | undefined; }>();
+
+    constructor(private readonly options: CreateDirectoryOptions) {
+        const { context: shared } = options;
+        this.follower = new store.PrefixFollower({ context: shared, store: options.store, prefix: shared.settings.upstreamDirectory, onChange: entries => this.receiveEntries(entries) });
+    }
+
+    /** Begins to follow the directory. */
+    start(): void {
+        this.parseEntry = this.options.context.services.findService(parseEntryKey) ?? parseOwnEntry;
+        this.follower.start();
+    }
+
+    /** Stops following. */
+    stop(): void {
+        this.follower.stop();
+    }
+
+    /** Returns the directory's state for the dump. */
+    getDump(): unknown {
+        return { ...this.follower.getDump() as object, malformed: [...this.parsed].filter(([, { found }]) => found === undefined).map(([key]) => key) };
+    }
+
+    private receiveEntries(entries: ReadonlyMap<string, store.Entry>): void {
+        const before = this.parsed;
+        this.parsed = new Map([...entries].map(([key, entry]) => {
+            const known = before.get(key);
+            return [key, known?.entry === entry || known?.entry.value === entry.value ? { entry, found: known.found } : { entry, found: this.readEntry(entry) }];
+        }));
+        this.writeChanges(before);
+        this.options.pool.setDiscovered([...this.parsed.values()].flatMap(({ found }) => found ?? []));
+    }
+
+    private readEntry(entry: store.Entry): Found | undefined {
+        const parsed = this.parseEntry(entry.key, entry.value);
+        if (parsed.isErr()) {
+            this.options.context.logger.writeWarning("directory-entry-malformed", `the entry ${entry.key} names no upstream: ${parsed.error.message}`, { key: entry.key, revision: entry.revision });
+            return undefined;
+        }
+        return parsed.value;
+    }
+
+    private writeChanges(before: Directory["parsed"]): void {
+        const { logger } = this.options.context;
+        for (const [key, { entry, found }] of this.parsed) {
+            const known = before.get(key)?.found;
+            if (found !== undefined && JSON.stringify(known) !== JSON.stringify(found)) {
+                const { service, definition } = found;
+                logger.writeInfo("upstream-found", `${service}/${definition.id} at ${definition.address} is ${definition.state}`, {
+                    service,
+                    upstream: definition.id,
+                    address: definition.address,
+                    state: definition.state,
+                    revision: entry.revision,
+                });
+            }
+        }
+        [...before].filter(([key, { found }]) => found !== undefined && !this.parsed.has(key)).forEach(([key, { found }]) => {
+            logger.writeInfo("upstream-gone", `${found!.service}/${found!.definition.id} is no longer in the directory`, { service: found!.service, upstream: found!.definition.id, key });
+        });
+    }
+}
+
+function parseOwnEntry(_key: string, text: string): Result<Found, errors.FleetError> {
+    try {
+        const parsed = entrySchema.safeParse(JSON.parse(text));
+        return parsed.success ? ok(parsed.data) : err(errors.createError("configurationInvalid", parsed.error.issues.map(issue => `${issue.path.join(".")}: ${issue.message}`).join("; ")));
+    }
+    catch (thrown) {
+        return err(errors.createError("configurationInvalid", `the entry is not JSON: ${errors.getThrownMessage(thrown)}`));
+    }
+}
--- a/src/kernel/errors.ts
+++ b/src/kernel/errors.ts
@@ -1,10 +1,11 @@
 /** The closed list of error kinds, and the one table from a kind to the answers that callers and operators see. */
 
-import { Code } from "@connectrpc/connect";
-
 /** Whether a request has run at an upstream, as told to its caller. */
 export type Outcome = "executed" | "not-executed" | "unknown";
 
+/** The RPC codes that operators see, as Connect names them. */
+export type RpcCode = "InvalidArgument" | "NotFound" | "FailedPrecondition" | "Unavailable" | "ResourceExhausted" | "DeadlineExceeded" | "Canceled" | "Unknown" | "Aborted" | "Unauthenticated" | "Internal";
+
 /** What a caller or operator may do after an error. */
 export type RetryAdvice = "no" | "later" | "otherInstance" | "sameKey";
 
@@ -13,7 +14,7 @@
     /** The HTTP status that a caller sees. */
     readonly status: number;
     /** The RPC code that an operator sees. */
-    readonly code: Code;
+    readonly code: RpcCode;
     /** What a caller is told about the request's execution. */
     readonly outcome: Outcome;
     /** What helps. */
@@ -22,44 +23,45 @@
     readonly meaning: string;
 }
 
-function createAnswer(status: number, code: Code, outcome: Outcome, retry: RetryAdvice, meaning: string): ErrorAnswer {
+function createAnswer(status: number, code: RpcCode, outcome: Outcome, retry: RetryAdvice, meaning: string): ErrorAnswer {
     return { status, code, outcome, retry, meaning };
 }
 
 /** The table from error kind to answer. */
 export const answers = {
-    badRequest: createAnswer(400, Code.InvalidArgument, "not-executed", "no", "A header, parameter or field of the request is invalid."),
-    routeNotFound: createAnswer(404, Code.NotFound, "not-executed", "no", "No route matches the method and path."),
-    featureRetired: createAnswer(410, Code.FailedPrecondition, "not-executed", "no", "The request's feature is retired."),
-    bodyTooLarge: createAnswer(413, Code.InvalidArgument, "not-executed", "no", "The request body is larger than the limit."),
-    notConfigured: createAnswer(503, Code.Unavailable, "not-executed", "otherInstance", "The instance has no configuration yet."),
-    configurationStale: createAnswer(503, Code.Unavailable, "not-executed", "otherInstance", "The instance hears neither the store nor half of its peers, so a newer configuration may be in force."),
-    draining: createAnswer(503, Code.Unavailable, "not-executed", "otherInstance", "The instance is stopping and takes no new requests."),
-    overloaded: createAnswer(503, Code.ResourceExhausted, "not-executed", "later", "The queue of the request's rank is full."),
-    deadlineBeforeSend: createAnswer(504, Code.DeadlineExceeded, "not-executed", "later", "The deadline passed, or could not be met, before the request was sent."),
-    upstreamUnavailable: createAnswer(503, Code.Unavailable, "not-executed", "later", "No upstream could be reached, and none was sent the request."),
-    deadlineAfterSend: createAnswer(504, Code.DeadlineExceeded, "unknown", "sameKey", "The deadline passed after the request was sent to an upstream."),
-    answerLost: createAnswer(502, Code.Unavailable, "unknown", "sameKey", "The request was sent to an upstream, and its answer was lost, broken or a gateway error."),
-    callerGone: createAnswer(499, Code.Canceled, "not-executed", "no", "The caller left before the request was sent."),
-    orderKeyMissing: createAnswer(400, Code.InvalidArgument, "not-executed", "no", "The route needs an order key and the request has none."),
-    orderKeyInvalid: createAnswer(400, Code.InvalidArgument, "not-executed", "no", "The order key is malformed, or its prefix was not issued by the instance it names."),
-    orderKeyReused: createAnswer(422, Code.InvalidArgument, "unknown", "no", "The order key was used before for a different request."),
-    orderKeyExpired: createAnswer(409, Code.FailedPrecondition, "unknown", "no", "The order key has expired and its outcome is no longer kept."),
-    refusedRepeat: createAnswer(409, Code.FailedPrecondition, "unknown", "no", "The request was refused, and an earlier one with the same order key may have run."),
-    orderOwnerUnreachable: createAnswer(503, Code.Unavailable, "unknown", "sameKey", "The instance that owns the order key cannot be reached from here."),
-    orderAnswerNotKept: createAnswer(409, Code.FailedPrecondition, "executed", "no", "The order ran, and its answer was too large to keep for a repeat."),
-    orderLedgerFull: createAnswer(503, Code.ResourceExhausted, "unknown", "sameKey", "The instance holds as many order keys as it may; this request was not sent, but a repeat of it may run later."),
-    storeUnavailable: createAnswer(503, Code.Unavailable, "unknown", "later", "The platform's store did not answer; this request was not sent, but an earlier one with the same key may have run."),
-    changeUnresolved: createAnswer(504, Code.Unknown, "unknown", "sameKey", "The store may or may not have taken the change; repeating it with the same change identifier is safe."),
-    configurationInvalid: createAnswer(400, Code.InvalidArgument, "not-executed", "no", "The configuration document is invalid."),
-    configurationConflict: createAnswer(409, Code.Aborted, "not-executed", "no", "Another change was accepted first."),
-    instanceUnknown: createAnswer(404, Code.NotFound, "not-executed", "no", "No such instance is known."),
-    upstreamUnknown: createAnswer(404, Code.NotFound, "not-executed", "no", "No such upstream is configured."),
-    unauthorized: createAnswer(401, Code.Unauthenticated, "not-executed", "no", "The shared secret is missing or wrong."),
-    settingInvalid: createAnswer(400, Code.InvalidArgument, "not-executed", "no", "A setting is invalid; the process exits with status 2."),
-    peerUnreachable: createAnswer(503, Code.Unavailable, "unknown", "later", "A peer did not answer in time, or no link to it is open."),
-    frameInvalid: createAnswer(400, Code.InvalidArgument, "not-executed", "no", "A peer sent a malformed, oversized or unexpected frame; the link is closed."),
-    internal: createAnswer(500, Code.Internal, "unknown", "no", "A fault of the program."),
+    badRequest: createAnswer(400, "InvalidArgument", "not-executed", "no", "A header, parameter or field of the request is invalid."),
+    routeNotFound: createAnswer(404, "NotFound", "not-executed", "no", "No route matches the method and path."),
+    featureRetired: createAnswer(410, "FailedPrecondition", "not-executed", "no", "The request's feature is retired."),
+    bodyTooLarge: createAnswer(413, "InvalidArgument", "not-executed", "no", "The request body is larger than the limit."),
+    notConfigured: createAnswer(503, "Unavailable", "not-executed", "otherInstance", "The instance has no configuration yet."),
+    configurationStale: createAnswer(503, "Unavailable", "not-executed", "otherInstance", "The instance hears neither the store nor half of its peers, so a newer configuration may be in force."),
+    draining: createAnswer(503, "Unavailable", "not-executed", "otherInstance", "The instance is stopping and takes no new requests."),
+    overloaded: createAnswer(503, "ResourceExhausted", "not-executed", "later", "The queue of the request's rank is full."),
+    deadlineBeforeSend: createAnswer(503, "DeadlineExceeded", "not-executed", "later", "The deadline passed, or could not be met, before the request was sent."),
+    upstreamUnavailable: createAnswer(503, "Unavailable", "not-executed", "later", "No upstream could be reached, and none was sent the request."),
+    deadlineAfterSend: createAnswer(504, "DeadlineExceeded", "unknown", "sameKey", "The deadline passed after the request was sent to an upstream."),
+    answerLost: createAnswer(502, "Unavailable", "unknown", "sameKey", "The request was sent to an upstream, and its answer was lost, broken or a gateway error."),
+    callerGone: createAnswer(499, "Canceled", "not-executed", "no", "The caller left before the request was sent."),
+    orderKeyMissing: createAnswer(400, "InvalidArgument", "not-executed", "no", "The route needs an order key and the request has none."),
+    orderKeyInvalid: createAnswer(400, "InvalidArgument", "not-executed", "no", "The order key is malformed, or its prefix was not issued by the instance it names."),
+    orderKeyReused: createAnswer(422, "InvalidArgument", "unknown", "no", "The order key was used before for a different request."),
+    orderKeyExpired: createAnswer(409, "FailedPrecondition", "unknown", "no", "The order key has expired and its outcome is no longer kept."),
+    refusedRepeat: createAnswer(409, "FailedPrecondition", "unknown", "no", "The request was refused, and an earlier one with the same order key may have run."),
+    orderOwnerUnreachable: createAnswer(503, "Unavailable", "unknown", "sameKey", "The instance that owns the order key cannot be reached from here."),
+    orderAnswerNotKept: createAnswer(409, "FailedPrecondition", "executed", "no", "The order ran, and its answer was too large to keep for a repeat."),
+    orderLedgerFull: createAnswer(503, "ResourceExhausted", "unknown", "sameKey", "The instance holds as many order keys as it may; this request was not sent, but a repeat of it may run later."),
+    storeUnavailable: createAnswer(503, "Unavailable", "unknown", "later", "The platform's store did not answer; this request was not sent, but an earlier one with the same key may have run."),
+    changeUnresolved: createAnswer(504, "Unknown", "unknown", "sameKey", "The store may or may not have taken the change; repeating it with the same change identifier is safe."),
+    configurationInvalid: createAnswer(400, "InvalidArgument", "not-executed", "no", "The configuration document is invalid."),
+    configurationElsewhere: createAnswer(409, "FailedPrecondition", "not-executed", "no", "The configuration is written by another program in the store, not by the operators' calls."),
+    configurationConflict: createAnswer(409, "Aborted", "not-executed", "no", "Another change was accepted first."),
+    instanceUnknown: createAnswer(404, "NotFound", "not-executed", "no", "No such instance is known."),
+    upstreamUnknown: createAnswer(404, "NotFound", "not-executed", "no", "No such upstream is configured."),
+    unauthorized: createAnswer(401, "Unauthenticated", "not-executed", "no", "The shared secret is missing or wrong."),
+    settingInvalid: createAnswer(400, "InvalidArgument", "not-executed", "no", "A setting is invalid; the process exits with status 2."),
+    peerUnreachable: createAnswer(503, "Unavailable", "unknown", "later", "A peer did not answer in time, or no link to it is open."),
+    frameInvalid: createAnswer(400, "InvalidArgument", "not-executed", "no", "A peer sent a malformed, oversized or unexpected frame; the link is closed."),
+    internal: createAnswer(500, "Internal", "unknown", "no", "A fault of the program."),
 } as const satisfies Record<string, ErrorAnswer>;
 
 /** The closed list of error kinds. */
@@ -73,6 +75,8 @@
     readonly message: string;
     /** The configuration version that a conflicting change lost to. */
     readonly version?: number;
+    /** When a repeat may be of use, in milliseconds from now; the answer's default where it is missing. */
+    readonly retryAfterMs?: number;
 }
 
 /**
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -58,6 +58,14 @@
         log.writeInfo("instance-started", `instance ${identity.instanceId} runs`, { version: process.version });
     }
 
+    /**
+     * Tells the plug-ins that the settings have changed.
+     * @param changed - The settings as they are now.
+     */
+    setSettings(changed: settings.ServeSettings): void {
+        this.instances.forEach(({ instance }) => instance.setSettings?.(changed));
+    }
+
     /** Returns the current state. */
     getState(): LifecycleState {
         return this.state;
--- a/src/kernel/plugins.ts
+++ b/src/kernel/plugins.ts
@@ -1,11 +1,14 @@
 /** The registry that plug-ins add themselves to when their folder is imported. */
 
+import type * as settings from "../settings/index.js";
 import type * as context from "./context.js";
 
 /** A running plug-in. */
 export interface PluginInstance {
     /** Opens ports and starts timers. */
     readonly start?: () => Promise<void>;
+    /** Takes over changed settings, as far as a running process can. */
+    readonly setSettings?: (changed: settings.ServeSettings) => void;
     /** Takes no new work and finishes what is in flight. */
     readonly drain?: () => Promise<void>;
     /** Closes everything. */
--- a/src/kernel/services.ts
+++ b/src/kernel/services.ts
@@ -28,6 +28,14 @@
         this.values.set(key.name, value);
     }
 
+    /**
+     * Returns a service; undefined where no plug-in offers it.
+     * @param key - Its key.
+     */
+    findService<T>(key: ServiceKey<T>): T | undefined {
+        return this.values.get(key.name) as T | undefined;
+    }
+
     /**
      * Returns a service.
      * @param key - Its key.
--- a/src/operators/index.ts
+++ b/src/operators/index.ts
@@ -8,7 +8,6 @@
 import * as peers from "../peers/index.js";
 import * as pool from "../pool/index.js";
 import * as operatorServer from "./operatorServer.js";
-import * as operatorService from "./operatorService.js";
 
 /** How often the event loop delay is sampled, in milliseconds; each sample wakes the process. */
 const eventLoopPrecisionMs = 500;
@@ -28,7 +27,7 @@
             secret: peers.readSharedSecret(shared.settings),
             tlsFiles: peers.readTlsFiles(shared.settings),
         };
-        const server = new operatorServer.OperatorServer({ ...options, service: new operatorService.OperatorService(options) });
+        const server = new operatorServer.OperatorServer(options);
         return { start: () => server.start(), stop: () => server.stop() };
     },
 });
--- a/src/operators/operatorServer.ts
+++ b/src/operators/operatorServer.ts
@@ -4,48 +4,30 @@
 import * as http from "node:http";
 import * as https from "node:https";
 import type * as net from "node:net";
-import { connectNodeAdapter } from "@connectrpc/connect-node";
-import type * as configuration from "../configuration/index.js";
-import type * as context from "../kernel/context.js";
-import type * as kernel from "../kernel/kernel.js";
-import type * as peers from "../peers/index.js";
-import * as operatorPb from "../rpc/agatebend/v1/operator_pb.js";
 import * as settings from "../settings/index.js";
 import type * as operatorService from "./operatorService.js";
 
 /** The largest RPC message, in bytes; a whole configuration fits. */
 const maximumMessageBytes = 64 * 1024 * 1024;
+/** Where the RPC's calls begin. */
+const rpcPrefix = "/agatebend.v1.OperatorService/";
 const publicPaths: ReadonlySet<string> = new Set(["/healthz", "/readyz"]);
 
 /** Options of the operators' server. */
-export interface CreateOperatorServerOptions {
-    readonly context: context.Context;
-    readonly service: operatorService.OperatorService;
-    readonly configuration: configuration.ConfigurationService;
-    readonly mesh: peers.Mesh;
-    readonly lifecycle: kernel.Lifecycle;
-    readonly secret: string;
-    /** The certificates of the port, if any. */
-    readonly tlsFiles: peers.TlsFiles | undefined;
-}
+export type CreateOperatorServerOptions = operatorService.CreateOperatorServiceOptions;
 
 /** Serves operators. */
 export class OperatorServer {
     private readonly server: http.Server;
+    private adapter?: Promise<http.RequestListener>;
 
     constructor(private readonly options: CreateOperatorServerOptions) {
-        const adapter = connectNodeAdapter({
-            routes: router => router.service(operatorPb.OperatorService, options.service.getImplementation()),
-            readMaxBytes: maximumMessageBytes,
-            jsonOptions: { ignoreUnknownFields: false },
-            fallback: (request, response) => void this.answerPlain(request as http.IncomingMessage, response as http.ServerResponse),
-        });
         const handle = (request: http.IncomingMessage, response: http.ServerResponse) => {
             if (!this.isAuthorized(request)) {
                 writeText(response, 401, "the shared secret is missing or wrong; send it as Authorization: Bearer SECRET\n");
                 return;
             }
-            adapter(request, response);
+            void this.answerRequest(request, response);
         };
         const { tlsFiles } = options;
         this.server = tlsFiles === undefined ? http.createServer(handle) : https.createServer({ ...tlsFiles }, handle);
@@ -70,6 +52,15 @@
         this.server.closeAllConnections();
     }
 
+    private async answerRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+        if (request.url?.startsWith(rpcPrefix) !== true) {
+            return this.answerPlain(request, response);
+        }
+        // Loaded at the first call, since few instances are ever called and loading takes much of a start's time.
+        this.adapter ??= import("./rpcAdapter.js").then(loaded => loaded.createRpcAdapter(this.options, maximumMessageBytes));
+        (await this.adapter)(request, response);
+    }
+
     private isAuthorized(request: http.IncomingMessage): boolean {
         const { secret } = this.options;
         if (secret === "" || publicPaths.has(request.url ?? "")) {
@@ -106,8 +97,7 @@
     }
 
     private answerReady(response: http.ServerResponse): void {
-        const { configuration: configurations, lifecycle } = this.options;
-        const isReady = lifecycle.getState() === "running" && configurations.getCurrent() !== undefined && !configurations.isStale();
+        const isReady = this.options.handler.isReady();
         writeText(response, isReady ? 200 : 503, isReady ? "ready\n" : "not ready: draining, without a configuration, or cut off\n");
     }
 }
--- a/src/operators/operatorService.ts
+++ b/src/operators/operatorService.ts
@@ -1,6 +1,6 @@
 /** The operators' calls, as the schema file describes them. */
 
-import { ConnectError, createClient } from "@connectrpc/connect";
+import { Code, ConnectError, createClient } from "@connectrpc/connect";
 import type { ServiceImpl } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
 import { err, ok, type Result } from "neverthrow";
@@ -178,7 +178,7 @@
  * @param error - The error.
  */
 export function createConnectError(error: errors.FleetError): ConnectError {
-    return new ConnectError(error.message, errors.getAnswer(error).code, { "x-agatebend-error": error.kind });
+    return new ConnectError(error.message, Code[errors.getAnswer(error).code], { "x-agatebend-error": error.kind });
 }
 
 function checkChangeId(changeId: string): void {
--- a/src/orders/forward.ts
+++ b/src/orders/forward.ts
@@ -59,7 +59,7 @@
 
 function createHeaders({ context: shared, request, key }: ForwardOrderOptions, remainingMs: number): string[] {
     const { fleetHeaders } = requests;
-    const set = [fleetHeaders.workspace, fleetHeaders.feature, fleetHeaders.deadline, fleetHeaders.orderKey, fleetHeaders.forwardedBy] as string[];
+    const set = [fleetHeaders.workspace, fleetHeaders.feature, request.deadlineHeader, fleetHeaders.orderKey, fleetHeaders.forwardedBy] as string[];
     return [
         ...requests.listEndToEndHeaders(request.rawHeaders, ["content-length", ...set]),
         "Content-Length",
@@ -68,7 +68,7 @@
         "close",
         ...(request.workspace === "" ? [] : [fleetHeaders.workspace, request.workspace]),
         ...(request.feature === undefined ? [] : [fleetHeaders.feature, request.feature]),
-        fleetHeaders.deadline,
+        request.deadlineHeader,
         String(Math.max(1, Math.floor(remainingMs))),
         fleetHeaders.orderKey,
         key,
--- a/src/orders/orders.ts
+++ b/src/orders/orders.ts
@@ -158,7 +158,7 @@
         return match(beginning)
             .with({ kind: "run" }, async () => {
                 // The order goes on without its caller, so that a repeat can be told its outcome.
-                const kept = { ...request, signal: new AbortController().signal, deadlineAt: Math.min(request.deadlineAt, expiresAt) };
+                const kept = { ...request, isKept: true, signal: new AbortController().signal, deadlineAt: Math.min(request.deadlineAt, expiresAt) };
                 const outcome = await requests.runOnce(this.options.executor, kept);
                 this.ledger.finishKey(key, outcome);
                 this.countOutcome("ran", outcome);
--- a/src/peers/dialer.ts
+++ b/src/peers/dialer.ts
@@ -43,6 +43,7 @@
     private readonly missedLooks = new Map<string, number>();
     private readonly ownAddresses = new Set<string>();
     private readonly seedPeers = new Map<string, string>();
+    private readonly foundSeeds = new Set<string>();
     private readonly tlsFiles: transport.TlsFiles | undefined;
     private readonly secret: string;
     private server?: net.Server;
@@ -70,6 +71,14 @@
         return address;
     }
 
+    /**
+     * Adds addresses to join through beside those of the settings.
+     * @param addresses - The addresses.
+     */
+    addSeeds(addresses: readonly string[]): void {
+        addresses.forEach(address => this.foundSeeds.add(address));
+    }
+
     /** Closes the port and every link. */
     async stop(): Promise<void> {
         this.server?.close();
@@ -109,7 +118,7 @@
                 this.openAddress(target.address, target.instanceId);
             }
         }
-        values.seeds
+        [...new Set([...values.seeds, ...this.foundSeeds])]
             .filter(seed => !this.ownAddresses.has(seed) && this.getLink(this.seedPeers.get(seed) ?? "") === undefined)
             .forEach(seed => this.openAddress(seed, undefined));
     }
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -16,6 +16,7 @@
         return {
             start: () => created.start(),
             stop: () => created.stop(),
+            setSettings: changed => created.addSeeds(changed.seeds),
             getDump: () => created.getDump(),
         };
     },
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -32,6 +32,7 @@
     private readonly listeners = new Map<string, RegisterListener[]>();
     private readonly handlers = new Map<string, RequestHandler>();
     private readonly noticeHandlers = new Map<string, RegisterListener>();
+    private readonly lossListeners: ((peerId: string) => void)[] = [];
     private readonly dialer: dialer.Dialer;
     private readonly bytes: promClient.Counter;
     private member: members.MemberDescription;
@@ -143,6 +144,22 @@
         this.listeners.set(topic, [...this.listeners.get(topic) ?? [], listener]);
     }
 
+    /**
+     * Calls back when the last link to a peer has closed.
+     * @param listener - Called with the peer.
+     */
+    addLossListener(listener: (peerId: string) => void): void {
+        this.lossListeners.push(listener);
+    }
+
+    /**
+     * Adds addresses of peers to join through, found elsewhere than in the settings.
+     * @param addresses - Peer addresses; some of them may be gone.
+     */
+    addSeeds(addresses: readonly string[]): void {
+        this.dialer.addSeeds(addresses);
+    }
+
     /**
      * Answers the peers' requests of a topic.
      * @param topic - The topic.
@@ -235,6 +252,7 @@
         const peer = closed.getPeer();
         if (peer !== undefined && this.dialer.getLink(peer.instanceId) === undefined) {
             this.pending.rejectPeer(peer.instanceId);
+            this.lossListeners.forEach(listener => listener(peer.instanceId));
         }
     }
 
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -9,7 +9,7 @@
 export { chooseUpstream, type ChooseUpstreamOptions } from "./chooseUpstream.js";
 export { LeavingMarks, leavingMarksKey } from "./leavingMarks.js";
 export { computeOverdueMs } from "./overdue.js";
-export { type AttemptObserver, Pool, poolKey, type ServicePool } from "./pool.js";
+export { type AttemptObserver, type DiscoveredUpstream, Pool, poolKey, type ServicePool } from "./pool.js";
 export type { AttemptOutcome, AttemptRecord, Routability, UpstreamKey } from "./types.js";
 export { Upstream } from "./upstream.js";
 
--- a/src/pool/pool.ts
+++ b/src/pool/pool.ts
@@ -13,6 +13,8 @@
 /** What observers of attempts are told. */
 export interface AttemptObserver {
     /** Called when an attempt ends. */
+    /** Called when an attempt begins. */
+    readonly onStart?: (target: upstream.Upstream, attempt: types.AttemptRecord) => void;
     readonly onEnd: (target: upstream.Upstream, attempt: types.AttemptRecord, outcome: types.AttemptOutcome, now: number) => void;
 }
 
@@ -23,9 +25,17 @@
     readonly upstreams: readonly upstream.Upstream[];
 }
 
+/** An upstream that a directory names. */
+export interface DiscoveredUpstream {
+    readonly service: string;
+    readonly definition: configuration.UpstreamDefinition;
+}
+
 /** Holds the pools and tells observers how attempts end. */
 export class Pool {
     private readonly pools = new Map<string, ServicePool>();
+    private services: ReadonlyMap<string, configuration.ServiceDefinition> = new Map();
+    private discovered: readonly DiscoveredUpstream[] = [];
     private readonly observers: AttemptObserver[] = [];
     private readonly changeListeners: (() => void)[] = [];
     /** How long requests usually take. */
@@ -80,14 +90,29 @@
      * @param document - The document in force.
      */
     setDocument(document: configuration.ConfigurationDocument): void {
+        this.services = new Map(Object.entries(document.services));
+        this.applyPools();
+    }
+
+    /**
+     * Takes over what a directory names; upstreams of services that are not configured wait until they are.
+     * @param discovered - The upstreams that the directory now names.
+     */
+    setDiscovered(discovered: readonly DiscoveredUpstream[]): void {
+        this.discovered = discovered;
+        this.applyPools();
+    }
+
+    private applyPools(): void {
         for (const name of this.pools.keys()) {
-            if (!Object.hasOwn(document.services, name)) {
+            if (!this.services.has(name)) {
                 this.pools.delete(name);
             }
         }
-        for (const [name, definition] of Object.entries(document.services)) {
+        for (const [name, definition] of this.services) {
             const before = this.pools.get(name);
-            const upstreams = definition.upstreams.map(described => this.createOrKeep(name, definition, described, before));
+            const described = [...definition.upstreams, ...this.discovered.filter(({ service }) => service === name).map(found => found.definition)];
+            const upstreams = described.map(upstreamDefinition => this.createOrKeep(name, definition, upstreamDefinition, before));
             this.pools.set(name, { name, definition, upstreams });
         }
         this.publishChange();
@@ -102,6 +127,7 @@
     startAttempt(target: upstream.Upstream, route: string, rankIndex: number): types.AttemptRecord {
         const attempt = { route, rankIndex, startedAt: this.shared.clock.getNow() };
         target.attempts.add(attempt);
+        this.observers.forEach(observer => observer.onStart?.(target, attempt));
         return attempt;
     }
 
@@ -146,11 +172,12 @@
 
     private createOrKeep(service: string, definition: configuration.ServiceDefinition, described: configuration.UpstreamDefinition, before: ServicePool | undefined): upstream.Upstream {
         const kept = before?.upstreams.find(candidate => candidate.getId() === described.id);
-        if (kept !== undefined && kept.getAddress() === described.address) {
-            kept.setDefinition(described, definition.slots);
+        const slots = described.slots ?? definition.slots;
+        if (kept !== undefined && kept.getAddress() === described.address && kept.getStartedAt() === described.startedAtMs) {
+            kept.setDefinition(described, slots);
             return kept;
         }
-        const created = new upstream.Upstream({ service, definition: described, slots: definition.slots });
+        const created = new upstream.Upstream({ service, definition: described, slots });
         if (before !== undefined) {
             created.routability = { kind: "recovering", startedAt: this.shared.clock.getNow(), durationMs: joinRampMs };
         }
--- a/src/pool/types.ts
+++ b/src/pool/types.ts
@@ -38,4 +38,6 @@
     readonly startedAt: number;
     /** When the answer's header came. */
     answeredAt?: number;
+    /** The size of the answer's body in bytes, where its header says it. */
+    answerBytes?: number;
 }
--- a/src/pool/upstream.ts
+++ b/src/pool/upstream.ts
@@ -52,6 +52,16 @@
         return this.definition.address;
     }
 
+    /** Returns when it started, in milliseconds since the epoch, where that is known. */
+    getStartedAt(): number | undefined {
+        return this.definition.startedAtMs;
+    }
+
+    /** Returns how many requests it works on at once, for all instances together. */
+    getSlots(): number {
+        return this.slots;
+    }
+
     /** Returns its failure domain. */
     getFailureDomain(): string {
         return this.definition.failureDomain;
@@ -67,8 +77,8 @@
             this.leavingUntil = 0;
         }
         this.definition = definition;
+        this.limit = slots > this.slots ? slots : Math.min(this.limit, slots);
         this.slots = slots;
-        this.limit = Math.min(this.limit, slots);
     }
 
     /** Returns how many requests it works on for this instance. */
@@ -102,7 +112,15 @@
      * @param now - The time.
      */
     hasRoom(now: number): boolean {
-        return now >= this.pausedUntil && this.attempts.size < this.getLimit();
+        return !this.isPaused(now) && this.attempts.size < this.getLimit();
+    }
+
+    /**
+     * Returns whether it gets nothing from this instance for a moment, after it refused or could not be reached.
+     * @param now - The time.
+     */
+    isPaused(now: number): boolean {
+        return now < this.pausedUntil;
     }
 
     /**
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -7,14 +7,18 @@
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import * as settings from "../settings/index.js";
+import * as answerIntegrity from "./answerIntegrity.js";
 import * as headers from "./headers.js";
 import type * as types from "./types.js";
 
+/** The longest wait for a connection, in milliseconds; upstreams are milliseconds away, and one without power never answers. */
+const connectTimeoutMs = 400;
+
 /** The result of an attempt, up to the answer's header. */
 export type AttemptResult =
     | { readonly kind: "answered"; readonly response: http.IncomingMessage; }
     /** The upstream says that it has not run the request. */
-    | { readonly kind: "shed"; }
+    | { readonly kind: "shed"; readonly reason: string; }
     /** No connection was made, so nothing was sent. */
     | { readonly kind: "unreachable"; readonly reason: string; }
     /** Something was sent, and no answer came. */
@@ -45,12 +49,13 @@
  * @remarks The connection of an attempt that is given up is destroyed, so that a late answer reaches nobody.
  */
 export function sendAttempt(options: SendAttemptOptions): Promise<AttemptResult> {
-    const { slot, service, signal } = options;
+    const { slot, service, signal, request } = options;
     return new Promise(resolve => {
         const progress = { wasSent: false };
         const sent = createRequest(options, progress);
         const finish = (result: AttemptResult, destroys: boolean) => {
             stopWaiting();
+            cancelConnect();
             signal.removeEventListener("abort", onAbort);
             if (destroys) {
                 sent.destroy();
@@ -59,6 +64,11 @@
         };
         const onAbort = () => finish({ kind: "cancelled", wasSent: progress.wasSent }, true);
         const stopWaiting = startWaiting(options, () => finish({ kind: "timedOut" }, true));
+        const cancelConnect = options.context.loop.scheduleOnce(connectTimeoutMs, () => {
+            if (!progress.wasSent) {
+                finish({ kind: "unreachable", reason: `no connection within ${connectTimeoutMs} ms` }, true);
+            }
+        });
         signal.addEventListener("abort", onAbort, { once: true });
         sent.on("error", error => {
             const reason = errors.getThrownMessage(error);
@@ -66,31 +76,65 @@
         });
         sent.on("close", () => finish({ kind: "lost", reason: "the connection closed" }, false));
         sent.on("response", response => {
+            answerIntegrity.watchAnswer(sent, response);
             if (response.headers[service.drainingHeader] !== undefined) {
                 options.onDraining();
             }
-            if (isShed(response, service)) {
+            const refusal = getRefusal(response, service);
+            if (refusal !== undefined) {
                 response.on("error", () => {});
                 response.resume();
-                finish({ kind: "shed" }, false);
+                finish({ kind: "shed", reason: refusal }, false);
+                return;
+            }
+            const mismatch = getMismatch(response, service, request);
+            if (mismatch !== undefined) {
+                response.on("error", () => {});
+                finish({ kind: "lost", reason: mismatch }, true);
                 return;
             }
             slot.attempt.answeredAt = options.context.clock.getNow();
+            const length = Number(response.headers["content-length"] ?? NaN);
+            if (response.statusCode === 200 && Number.isFinite(length)) {
+                slot.attempt.answerBytes = length;
+            }
             finish({ kind: "answered", response }, false);
         });
-        sent.end(options.request.body.length > 0 ? options.request.body : undefined);
+        sent.end(request.body.length > 0 ? request.body : undefined);
     });
 }
 
-/** Returns whether an answer proves that the request was not run. */
-function isShed(response: http.IncomingMessage, service: configuration.ServiceDefinition): boolean {
-    return response.statusCode === service.shed.status && response.headers[service.shed.header] !== undefined;
+/** Returns why an answer proves that the request was not run; undefined where it does not. */
+function getRefusal(response: http.IncomingMessage, service: configuration.ServiceDefinition): string | undefined {
+    const { shed, identityHeader } = service;
+    if (identityHeader !== undefined && response.statusCode === 421) {
+        return "another upstream has the address";
+    }
+    const isStatus = shed.status === "any" || response.statusCode === shed.status;
+    return isStatus && response.headers[shed.header] !== undefined ? `status ${response.statusCode} with ${shed.header}` : undefined;
+}
+
+/** Returns why an answer is not one to this request; undefined where it may be. */
+function getMismatch(response: http.IncomingMessage, { echoHeader, sealHeader }: configuration.ServiceDefinition, request: types.FleetRequest): string | undefined {
+    if (echoHeader !== undefined) {
+        const asked = headers.getValues(request.rawHeaders, echoHeader)[0];
+        const echoed = response.headers[echoHeader];
+        if (asked !== undefined && echoed !== asked) {
+            return `the answer's ${echoHeader} is ${JSON.stringify(echoed)}, the request's ${JSON.stringify(asked)}`;
+        }
+    }
+    const isSuccess = (response.statusCode ?? 0) < 300;
+    if (sealHeader !== undefined && isSuccess && response.headers[sealHeader] === undefined) {
+        return `a successful answer lacks ${sealHeader}`;
+    }
+    return undefined;
 }
 
 function createRequest(options: SendAttemptOptions, progress: { wasSent: boolean; }): http.ClientRequest {
     const { slot, request, service, context: shared } = options;
     const { host, port } = settings.parseAddress(slot.upstream.getAddress());
     const remainingMs = Math.max(1, Math.floor(request.deadlineAt - shared.clock.getNow()));
+    const identity = service.identityHeader === undefined ? [] : [service.identityHeader, slot.upstream.getId()];
     const sent = http.request({
         host,
         port,
@@ -98,10 +142,11 @@
         path: request.path,
         agent: options.agent ?? false,
         headers: [
-            ...headers.listEndToEndHeaders(request.rawHeaders, ["content-length", service.deadlineHeader]),
+            ...headers.listEndToEndHeaders(request.rawHeaders, ["content-length", service.deadlineHeader, ...identity.slice(0, 1)]),
             ...createBodyHeaders(request),
             service.deadlineHeader,
             String(remainingMs),
+            ...identity,
             ...options.extraHeaders ?? [],
             "Via",
             `1.1 ${shared.identity.instanceId}`,
--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -12,6 +12,9 @@
 import * as retryBudget from "./retryBudget.js";
 import type * as types from "./types.js";
 
+/** Milliseconds between two looks at whether the budget allows a repeat. */
+const retryLookMs = 25;
+
 /** Options of the executors' context. */
 export interface CreateExecutorContextOptions {
     readonly context: context.Context;
@@ -19,6 +22,8 @@
     readonly pool: pool.Pool;
     readonly marks: pool.LeavingMarks;
     readonly agent: http.Agent;
+    /** Returns how many instances the fleet has; Infinity while that is not known. */
+    readonly countInstances: () => number;
     /** Sends an attempt; another function stands in for the network in tests. */
     readonly sendAttempt?: typeof attempt.sendAttempt;
 }
@@ -59,11 +64,31 @@
      * @param service - The service.
      */
     getBudget(service: string): retryBudget.RetryBudget {
-        const known = this.budgets.get(service) ?? new retryBudget.RetryBudget();
+        const { clock, settings } = this.context;
+        const known = this.budgets.get(service)
+            ?? new retryBudget.RetryBudget({ clock, ratio: settings.retryRatio, slack: settings.retrySlack, windowMs: settings.retryWindowS * 1_000, countInstances: this.options.countInstances });
         this.budgets.set(service, known);
         return known;
     }
 
+    /**
+     * Waits until an upstream's refusal may be answered by another attempt; returns false where it may not be in time.
+     * @param request - The request.
+     */
+    async waitForRetry(request: types.FleetRequest): Promise<boolean> {
+        const { route, deadlineAt, signal } = request;
+        const { clock, loop } = this.context;
+        const budget = this.getBudget(route.service);
+        const usualMs = this.latencies.getQuantile(route.service, route.name, 0.5) ?? 0;
+        while (!budget.acquireRetry()) {
+            if (signal.aborted || deadlineAt - clock.getNow() < usualMs + retryLookMs) {
+                return false;
+            }
+            await new Promise<void>(resolve => loop.scheduleOnce(retryLookMs, resolve));
+        }
+        return true;
+    }
+
     /**
      * Returns a service's definition in force.
      * @param service - The service.
@@ -76,9 +101,9 @@
      * Waits for a slot for a request.
      * @param request - The request.
      * @param excluded - Identifiers of upstreams it has been at; where they are all of them, they are allowed again.
-     * @param isRetry - Whether it held a slot before.
+     * @param progress - Whether it held a slot before, and whether it may be sent once more if this attempt fails.
      */
-    acquireSlot(request: types.FleetRequest, excluded: Set<string>, isRetry: boolean): Promise<Result<admission.Slot, errors.FleetError>> {
+    acquireSlot(request: types.FleetRequest, excluded: Set<string>, progress: { readonly isRetry: boolean; readonly canRepeat: boolean; }): Promise<Result<admission.Slot, errors.FleetError>> {
         const { route } = request;
         const now = this.context.clock.getNow();
         const upstreams = this.options.pool.getServicePool(route.service)?.upstreams ?? [];
@@ -92,7 +117,7 @@
             rankIndex: route.rankIndex,
             feature: request.feature,
             isRepeatable: route.repeatable,
-            isRetry,
+            ...progress,
             deadlineAt: request.deadlineAt,
             excluded: new Set(excluded),
             signal: request.signal,
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -4,7 +4,6 @@
 export const fleetHeaders = {
     workspace: "x-agatebend-workspace",
     feature: "x-agatebend-feature",
-    deadline: "x-agatebend-deadline-ms",
     orderKey: "x-agatebend-order-key",
     outcome: "x-agatebend-outcome",
     error: "x-agatebend-error",
--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -1,11 +1,12 @@
 /** The plug-in that runs requests at upstreams. */
 
-import * as http from "node:http";
 import * as admission from "../admission/index.js";
+import * as peers from "../peers/index.js";
 import * as plugins from "../kernel/plugins.js";
-import * as services from "../kernel/services.js";
 import * as pool from "../pool/index.js";
+import * as services from "../kernel/services.js";
 import * as executorContext from "./executorContext.js";
+import * as upstreamAgent from "./upstreamAgent.js";
 
 export { ExecutorContext } from "./executorContext.js";
 export { fleetHeaders, getValues, listEndToEndHeaders, removeFleetHeaders } from "./headers.js";
@@ -18,15 +19,19 @@
 const idleConnections = 2;
 /** How long an idle connection is kept, in milliseconds; below the usual patience of servers. */
 const idleConnectionMs = 4_000;
+/** The time in which a started instance meets the others; until then it takes no part of what the fleet shares, in milliseconds. */
+const meetingMs = 3_000;
 
 /** The key of the executors' context. */
 export const executorKey = services.createKey<executorContext.ExecutorContext>("executor");
 
 plugins.registerPlugin({
     name: "requests",
-    dependsOn: ["admission", "pool", "detection"],
+    dependsOn: ["admission", "peers", "pool", "detection"],
     create: shared => {
-        const agent = new http.Agent({ keepAlive: true, maxFreeSockets: idleConnections, timeout: idleConnectionMs, scheduling: "lifo" });
+        const mesh = shared.services.getService(peers.meshKey);
+        const startedAt = shared.clock.getNow();
+        const agent = new upstreamAgent.UpstreamAgent({ keepAlive: true, maxFreeSockets: idleConnections, timeout: idleConnectionMs, scheduling: "lifo" });
         shared.services.setService(
             executorKey,
             new executorContext.ExecutorContext({
@@ -35,6 +40,7 @@
                 pool: shared.services.getService(pool.poolKey),
                 marks: shared.services.getService(pool.leavingMarksKey),
                 agent,
+                countInstances: () => shared.clock.getNow() - startedAt < meetingMs ? Infinity : mesh.listMembers().length,
             }),
         );
         return { stop: async () => agent.destroy() };
--- a/src/requests/once.ts
+++ b/src/requests/once.ts
@@ -9,8 +9,8 @@
 import * as readAnswer from "./readAnswer.js";
 import type * as types from "./types.js";
 
-/** How long after its deadline a sent request is still waited for, so that a repeat can be told its outcome, in milliseconds. */
-const graceMs = 30_000;
+/** How long after its deadline a request with an order key is still waited for, so that a repeat can be told its outcome, in milliseconds. */
+const keptGraceMs = 30_000;
 
 /** The final result of a request that runs at most once. */
 export type OnceResult =
@@ -28,8 +28,9 @@
  */
 export async function runOnce(shared: executorContext.ExecutorContext, request: types.FleetRequest): Promise<OnceResult> {
     const excluded = new Set<string>();
+    shared.getBudget(request.route.service).addRequest();
     for (let attempts = 1;; attempts += 1) {
-        const slot = await shared.acquireSlot(request, excluded, attempts > 1);
+        const slot = await shared.acquireSlot(request, excluded, { isRetry: attempts > 1, canRepeat: false });
         if (slot.isErr()) {
             return { kind: "error", error: slot.error, attempts: attempts - 1 };
         }
@@ -58,15 +59,15 @@
         signal: new AbortController().signal,
         onDraining: () => shared.marks.addMark(slot.upstream),
         getPatience: () => {
-            const remainingMs = request.deadlineAt + graceMs - clock.getNow();
+            const remainingMs = request.deadlineAt + (request.isKept ? keptGraceMs : 0) - clock.getNow();
             return remainingMs <= 0 ? "over" : remainingMs;
         },
     });
     const release = (outcome: pool.AttemptOutcome) => slot.release(outcome);
     return match(result)
-        .with({ kind: "shed" }, (): StepResult => {
+        .with({ kind: "shed" }, async ({ reason }): Promise<StepResult> => {
             release("shed");
-            return "again";
+            return await shared.waitForRetry(request) ? "again" : { kind: "error", error: errors.createError("overloaded", `the upstream refused the request: ${reason}`), attempts };
         })
         .with({ kind: "unreachable" }, (): StepResult => {
             release("unreachable");
--- a/src/requests/readAnswer.ts
+++ b/src/requests/readAnswer.ts
@@ -3,6 +3,7 @@
 import type * as http from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import type * as context from "../kernel/context.js";
+import * as answerIntegrity from "./answerIntegrity.js";
 import * as headers from "./headers.js";
 import type * as types from "./types.js";
 
@@ -23,9 +24,6 @@
  */
 export function readAnswer(options: ReadAnswerOptions): Promise<Result<types.HeldAnswer, ReadFailure>> {
     const { response, maximumBytes, context: { loop, settings } } = options;
-    const isMeasured = response.headers["content-length"] !== undefined
-        || response.headers["transfer-encoding"] === "chunked"
-        || response.statusCode === 204;
     return new Promise(resolve => {
         const parts: Buffer[] = [];
         let bytes = 0;
@@ -52,9 +50,8 @@
             }
         });
         response.on("end", () => {
-            const isWhole = response.complete && isMeasured;
             finish(
-                isWhole
+                answerIntegrity.isWhole(response)
                     ? ok({
                         status: response.statusCode ?? 502,
                         rawHeaders: headers.listEndToEndHeaders(response.rawHeaders, ["content-length"]),
--- a/src/requests/relayBody.ts
+++ b/src/requests/relayBody.ts
@@ -2,6 +2,7 @@
 
 import type * as http from "node:http";
 import type * as context from "../kernel/context.js";
+import * as answerIntegrity from "./answerIntegrity.js";
 import * as rangeResume from "./rangeResume.js";
 
 /** A pause in a body that can be continued elsewhere, after which it is, in milliseconds. */
@@ -10,6 +11,8 @@
 /** How a body ended. */
 export type RelayResult =
     | { readonly kind: "whole"; readonly bytes: number; }
+    /** It broke before anything of the answer was written, so another answer may take its place. */
+    | { readonly kind: "unstarted"; }
     /** The upstream's side broke and could not be continued. */
     | { readonly kind: "broken"; readonly bytes: number; }
     | { readonly kind: "callerGone"; readonly bytes: number; };
@@ -19,14 +22,57 @@
     readonly context: context.Context;
     readonly response: http.IncomingMessage;
     readonly caller: http.ServerResponse;
+    /** Writes the answer's header; called once, before the first byte. */
+    readonly writeHeader: () => void;
+    /** Bytes that are held back until the body is whole or longer than this, so that a break up to there can be mended. */
+    readonly heldBytes: number;
     /** Where the body can be continued elsewhere: what is needed for it. */
     readonly resumable: rangeResume.ResumableBody | undefined;
     /** Opens the rest of a broken body at another upstream; undefined where that fails. */
     readonly openRest: (resumable: rangeResume.ResumableBody, offset: number) => Promise<http.IncomingMessage | undefined>;
+    /** Returns the milliseconds until the whole answer must have come. */
+    readonly getRemainingMs: () => number;
 }
 
 type PartResult = "ended" | "broken" | "callerGone";
 
+/** Writes to the caller, after holding back the first bytes. */
+class HeldWriter {
+    private held: Buffer[] | undefined = [];
+    private heldCount = 0;
+
+    constructor(private readonly options: RelayBodyOptions) {
+        if (options.heldBytes === 0) {
+            this.writeHeld();
+        }
+    }
+
+    /** Returns whether nothing of the answer has been written. */
+    isHolding(): boolean {
+        return this.held !== undefined;
+    }
+
+    /** Takes a chunk; returns whether more may come at once. */
+    write(chunk: Buffer): boolean {
+        if (this.held === undefined) {
+            return this.options.caller.write(chunk);
+        }
+        this.held.push(chunk);
+        this.heldCount += chunk.length;
+        return this.heldCount <= this.options.heldBytes ? true : this.writeHeld();
+    }
+
+    /** Writes the header and what was held back. */
+    writeHeld(): boolean {
+        const chunks = this.held ?? [];
+        if (this.held !== undefined) {
+            this.held = undefined;
+            this.options.writeHeader();
+        }
+        return chunks.map(chunk => this.options.caller.write(chunk)).at(-1) ?? true;
+    }
+}
+
 /**
  * Passes a body on until it is whole, the caller leaves, or it is broken beyond help.
  * @param options - The answer and the caller.
@@ -34,10 +80,11 @@
  */
 export async function relayBody(options: RelayBodyOptions): Promise<RelayResult> {
     const { caller, resumable } = options;
+    const writer = new HeldWriter(options);
     let bytes = 0;
     let part: http.IncomingMessage | undefined = options.response;
     while (part !== undefined) {
-        const result = await relayPart(options, part, count => {
+        const result = await relayPart(options, writer, part, count => {
             bytes += count;
         });
         if (result === "callerGone") {
@@ -45,16 +92,20 @@
         }
         const isWhole = resumable === undefined ? result === "ended" : bytes === resumable.length;
         if (isWhole) {
+            writer.writeHeld();
             caller.end();
             return { kind: "whole", bytes };
         }
         part = resumable === undefined || bytes > resumable.length ? undefined : await options.openRest(resumable, bytes);
     }
+    if (writer.isHolding()) {
+        return { kind: "unstarted" };
+    }
     caller.destroy();
     return { kind: "broken", bytes };
 }
 
-function relayPart(options: RelayBodyOptions, part: http.IncomingMessage, onBytes: (count: number) => void): Promise<PartResult> {
+function relayPart(options: RelayBodyOptions, writer: HeldWriter, part: http.IncomingMessage, onBytes: (count: number) => void): Promise<PartResult> {
     const { caller, context: { loop, settings } } = options;
     const idleMs = options.resumable === undefined ? settings.bodyIdleTimeoutMs : Math.min(resumableIdleMs, settings.bodyIdleTimeoutMs);
     return new Promise(resolve => {
@@ -71,7 +122,8 @@
         };
         const startIdle = () => {
             cancelIdle();
-            cancelIdle = loop.scheduleOnce(idleMs, () => finish("broken"));
+            const limitMs = writer.isHolding() ? Math.min(idleMs, options.getRemainingMs()) : idleMs;
+            cancelIdle = loop.scheduleOnce(Math.max(0, limitMs), () => finish("broken"));
         };
         // The pause of a slow reader is not the upstream's, so the idle time stands still meanwhile.
         const resume = () => {
@@ -81,18 +133,19 @@
         const onCallerClose = () => finish("callerGone");
         const onData = (chunk: Buffer) => {
             onBytes(chunk.length);
-            if (caller.write(chunk)) {
+            if (writer.write(chunk)) {
                 startIdle();
                 return;
             }
             cancelIdle();
             part.pause();
         };
+        const finishPart = () => finish(answerIntegrity.isWhole(part) ? "ended" : "broken");
         caller.on("drain", resume);
         caller.on("close", onCallerClose);
         part.on("error", () => finish("broken"));
-        part.on("close", () => finish(part.complete ? "ended" : "broken"));
-        part.on("end", () => finish(part.complete ? "ended" : "broken"));
+        part.on("close", finishPart);
+        part.on("end", finishPart);
         part.on("data", onData);
         startIdle();
         if (caller.destroyed) {
--- a/src/requests/repeatable.ts
+++ b/src/requests/repeatable.ts
@@ -11,8 +11,8 @@
 import * as relayBody from "./relayBody.js";
 import type * as types from "./types.js";
 
-/** The most attempts that may have run, for one request. */
-const maximumSent = 3;
+/** Bytes of an answer that are held back, so that one which breaks before can be fetched again. */
+const heldBytes = 1_048_576;
 /** The most continuations of one body. */
 const maximumContinuations = 8;
 
@@ -50,18 +50,26 @@
 export async function runRepeatable(shared: executorContext.ExecutorContext, request: types.FleetRequest, caller: http.ServerResponse): Promise<ExecutionSummary> {
     const progress: Progress = { excluded: new Set(), attempts: 0, sent: 0 };
     shared.getBudget(request.route.service).addRequest();
-    const result = await openAnswer(shared, request, progress, []);
-    if (result.kind === "error") {
-        return { outcome: errors.getAnswer(result.error).outcome, status: errors.getAnswer(result.error).status, attempts: progress.attempts, error: result.error, body: "none" };
+    while (true) {
+        const result = await openAnswer(shared, request, progress, []);
+        const summary = result.kind === "error" ? createErrorSummary(result.error, progress) : await writeAnswer(shared, request, progress, result.opened, caller);
+        if (summary !== "again") {
+            return summary;
+        }
     }
-    return writeAnswer(shared, request, progress, result.opened, caller);
+}
+
+function createErrorSummary(error: errors.FleetError, progress: Progress): ExecutionSummary {
+    const { outcome, status } = errors.getAnswer(error);
+    return { outcome, status, attempts: progress.attempts, error, body: "none" };
 }
 
 /** Tries upstreams until one answers; the answer's body is still to come. */
 async function openAnswer(shared: executorContext.ExecutorContext, request: types.FleetRequest, progress: Progress, extraHeaders: readonly string[]): Promise<OpenResult> {
     const service = request.route.service;
     while (true) {
-        const slot = await shared.acquireSlot(request, progress.excluded, progress.attempts > 0);
+        const canRepeat = progress.sent + 1 < request.route.maximumAttempts && shared.getBudget(service).getRemaining() >= 1;
+        const slot = await shared.acquireSlot(request, progress.excluded, { isRetry: progress.attempts > 0, canRepeat });
         if (slot.isErr()) {
             return { kind: "error", error: createSlotError(slot.error, progress.sent) };
         }
@@ -83,10 +91,10 @@
             onDraining: () => shared.marks.addMark(target),
             getPatience: ageMs => getPatience(shared, request, progress, target, ageMs),
         });
-        const next = match(result)
+        const next = await match(result)
             .with({ kind: "answered" }, ({ response }): OpenResult | "again" => receiveAnswer(shared, request, progress, slot.value, response))
-            .with({ kind: "shed" }, () => retryUnsent(progress, slot.value, "shed"))
-            .with({ kind: "unreachable" }, () => retryUnsent(progress, slot.value, "unreachable"))
+            .with({ kind: "shed" }, ({ reason }) => retryShed(shared, request, progress, slot.value, reason))
+            .with({ kind: "unreachable" }, () => retryUnsent(progress, slot.value))
             .with({ kind: "lost" }, ({ reason }) => retrySent(shared, request, progress, slot.value, "failed", errors.createError("answerLost", `the answer was lost: ${reason}`)))
             .with({ kind: "timedOut" }, () => retryOverdue(shared, request, progress, slot.value))
             .with({ kind: "cancelled" }, (): OpenResult => {
@@ -115,7 +123,7 @@
     if (ageMs < patienceMs) {
         return Math.min(remainingMs, patienceMs - ageMs);
     }
-    const mayRetry = progress.sent + 1 < maximumSent && remainingMs > patienceMs && shared.getBudget(request.route.service).acquireRetry();
+    const mayRetry = progress.sent + 1 < request.route.maximumAttempts && remainingMs > patienceMs && shared.getBudget(request.route.service).acquireRetry();
     return mayRetry ? "over" : remainingMs;
 }
 
@@ -125,8 +133,7 @@
     if (status < 500) {
         return { kind: "opened", opened: { slot, response } };
     }
-    const mayRetry = progress.sent < maximumSent && !request.signal.aborted && shared.getBudget(request.route.service).acquireRetry();
-    if (!mayRetry) {
+    if (!isRetryAcquired(shared, request, progress)) {
         return { kind: "opened", opened: { slot, response } };
     }
     response.on("error", () => {});
@@ -136,19 +143,34 @@
     return "again";
 }
 
-/** The upstream has not run the request, so another one may, without touching the budget. */
-function retryUnsent(progress: Progress, slot: admission.Slot, outcome: pool.AttemptOutcome): "again" {
-    slot.release(outcome);
+/** Takes a repeat from the budget where the request may be sent once more. */
+function isRetryAcquired(shared: executorContext.ExecutorContext, request: types.FleetRequest, progress: Progress): boolean {
+    return progress.sent < request.route.maximumAttempts && !request.signal.aborted && shared.getBudget(request.route.service).acquireRetry();
+}
+
+/** The upstream has not seen the request, so another one may have it without touching the budget. */
+function retryUnsent(progress: Progress, slot: admission.Slot): "again" {
+    slot.release("unreachable");
     progress.excluded.add(slot.upstream.getId());
     return "again";
 }
 
+/** The upstream has not run the request, but it was troubled with it, so that a repeat counts. */
+async function retryShed(shared: executorContext.ExecutorContext, request: types.FleetRequest, progress: Progress, slot: admission.Slot, reason: string): Promise<OpenResult | "again"> {
+    slot.release("shed");
+    progress.excluded.add(slot.upstream.getId());
+    if (await shared.waitForRetry(request)) {
+        return "again";
+    }
+    const message = `the upstream refused the request: ${reason}`;
+    return { kind: "error", error: progress.sent === 0 ? errors.createError("overloaded", message) : errors.createError("answerLost", `an attempt was sent and lost; then ${message}`) };
+}
+
 function retrySent(shared: executorContext.ExecutorContext, request: types.FleetRequest, progress: Progress, slot: admission.Slot, outcome: pool.AttemptOutcome, error: errors.FleetError): OpenResult | "again" {
     slot.release(outcome);
     progress.sent += 1;
     progress.excluded.add(slot.upstream.getId());
-    const mayRetry = progress.sent < maximumSent && !request.signal.aborted && shared.getBudget(request.route.service).acquireRetry();
-    return mayRetry ? "again" : { kind: "error", error };
+    return isRetryAcquired(shared, request, progress) ? "again" : { kind: "error", error };
 }
 
 /** The retry of an overdue attempt was taken from the budget when it was given up. */
@@ -168,29 +190,26 @@
     return errors.createError("deadlineAfterSend", `an attempt was sent; then: ${error.message}`);
 }
 
-async function writeAnswer(shared: executorContext.ExecutorContext, request: types.FleetRequest, progress: Progress, opened: Opened, caller: http.ServerResponse): Promise<ExecutionSummary> {
+async function writeAnswer(shared: executorContext.ExecutorContext, request: types.FleetRequest, progress: Progress, opened: Opened, caller: http.ServerResponse): Promise<ExecutionSummary | "again"> {
     const { response } = opened;
     const status = response.statusCode ?? 502;
-    const isBodyMeasured = hasMeasuredBody(request.method, response);
-    if (!isBodyMeasured) {
-        response.on("error", () => {});
-        response.destroy();
-        opened.slot.release("failed");
-        const error = errors.createError("answerLost", "the upstream's answer has neither a length nor chunks, so its end cannot be told from a break");
-        return { outcome: "unknown", status: 502, attempts: progress.attempts, error, body: "none" };
-    }
     const outcome: errors.Outcome = status < 500 ? "executed" : "unknown";
-    caller.writeHead(status, [
-        ...headers.removeFleetHeaders(headers.listEndToEndHeaders(response.rawHeaders)),
-        ...shared.createAnswerHeaders(outcome, progress.attempts),
-    ]);
+    const resumable = rangeResume.getResumableBody(request.method, response);
     let current = opened.slot;
     let continuations = 0;
     const result = await relayBody.relayBody({
         context: shared.context,
         response,
         caller,
-        resumable: rangeResume.getResumableBody(request.method, response),
+        writeHeader: () => {
+            caller.writeHead(status, [
+                ...headers.removeFleetHeaders(headers.listEndToEndHeaders(response.rawHeaders)),
+                ...shared.createAnswerHeaders(outcome, progress.attempts),
+            ]);
+        },
+        heldBytes: resumable === undefined ? heldBytes : 0,
+        getRemainingMs: () => request.deadlineAt - shared.context.clock.getNow(),
+        resumable,
         openRest: async (resumable, offset) => {
             current.release("failed");
             continuations += 1;
@@ -207,6 +226,13 @@
             return rest.response;
         },
     });
+    if (result.kind === "unstarted") {
+        const isOver = request.deadlineAt <= shared.context.clock.getNow();
+        const error = isOver ? errors.createError("deadlineAfterSend") : errors.createError("answerLost", "the answer broke off");
+        current.release(isOver ? "timedOut" : "failed");
+        progress.excluded.add(current.upstream.getId());
+        return !isOver && isRetryAcquired(shared, request, progress) ? "again" : createErrorSummary(error, progress);
+    }
     current.release(getFinalOutcome(result.kind, status));
     return { outcome, status, attempts: progress.attempts, body: result.kind };
 }
@@ -214,7 +240,7 @@
 function getFinalOutcome(kind: relayBody.RelayResult["kind"], status: number): pool.AttemptOutcome {
     return match(kind)
         .with("whole", (): pool.AttemptOutcome => status < 500 ? "answered" : "failed")
-        .with("broken", (): pool.AttemptOutcome => "failed")
+        .with("broken", "unstarted", (): pool.AttemptOutcome => "failed")
         .with("callerGone", (): pool.AttemptOutcome => "cancelled")
         .exhaustive();
 }
@@ -236,12 +262,3 @@
     }
     return result.opened;
 }
-
-/** Returns whether the end of the answer's body can be told from a break. */
-function hasMeasuredBody(method: string, response: http.IncomingMessage): boolean {
-    const status = response.statusCode ?? 0;
-    if (method === "HEAD" || status === 204 || status === 304) {
-        return true;
-    }
-    return response.headers["content-length"] !== undefined || response.headers["transfer-encoding"] === "chunked";
-}
--- a/src/requests/retryBudget.ts
+++ b/src/requests/retryBudget.ts
@@ -1,25 +1,74 @@
-/** Bounds retries to a part of the traffic, so that they cannot amplify an overload. */
+/** Bounds repeats to a part of the traffic, so that they cannot amplify an overload. */
 
-/** Retries earned by each first attempt. */
-const retriesPerRequest = 0.1;
-/** The most that may be saved up, and what a new budget starts with. */
-const maximumSaved = 10;
+import type * as clock from "../kernel/clock.js";
 
-/** Counts the retries that a service may still be sent. */
+/** The window is counted in this many parts. */
+const partsPerWindow = 20;
+
+/** Options of a budget. */
+export interface CreateRetryBudgetOptions {
+    readonly clock: clock.Clock;
+    /** The repeats that the whole fleet may send, as a part of its requests. */
+    readonly ratio: number;
+    /** The repeats that the whole fleet may send in a window beside that part. */
+    readonly slack: number;
+    /** In milliseconds. */
+    readonly windowMs: number;
+    /** Returns how many instances share the slack; Infinity while that is not known. */
+    readonly countInstances: () => number;
+}
+
+interface Part {
+    readonly startedAt: number;
+    requests: number;
+    repeats: number;
+}
+
+/** Counts one service's requests and repeats at this instance over a sliding window. */
 export class RetryBudget {
-    private saved = maximumSaved;
+    private parts: Part[] = [];
+
+    constructor(private readonly options: CreateRetryBudgetOptions) {}
 
     /** Records a first attempt. */
     addRequest(): void {
-        this.saved = Math.min(maximumSaved, this.saved + retriesPerRequest);
+        this.getPart().requests += 1;
     }
 
-    /** Takes one retry; returns whether there was one. */
+    /** Takes one repeat; returns whether there was one. */
     acquireRetry(): boolean {
-        if (this.saved < 1) {
+        const part = this.getPart();
+        if (this.getRemaining() < 1) {
             return false;
         }
-        this.saved -= 1;
+        part.repeats += 1;
         return true;
     }
+
+    /** Returns the repeats that are left. */
+    getRemaining(): number {
+        const { ratio, slack, countInstances } = this.options;
+        this.removeOld();
+        const requests = this.parts.reduce((sum, part) => sum + part.requests, 0);
+        const repeats = this.parts.reduce((sum, part) => sum + part.repeats, 0);
+        return ratio * requests + slack / countInstances() - repeats;
+    }
+
+    private getPart(): Part {
+        const now = this.options.clock.getNow();
+        const newest = this.parts.at(-1);
+        if (newest !== undefined && now - newest.startedAt < this.options.windowMs / partsPerWindow) {
+            return newest;
+        }
+        const created = { startedAt: now, requests: 0, repeats: 0 };
+        this.parts.push(created);
+        return created;
+    }
+
+    /** A part stays until its last moment has left the window. */
+    private removeOld(): void {
+        const now = this.options.clock.getNow();
+        const { windowMs } = this.options;
+        this.parts = this.parts.filter(part => now - part.startedAt < windowMs + windowMs / partsPerWindow);
+    }
 }
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -15,6 +15,12 @@
     readonly feature: string | undefined;
     /** Monotonic milliseconds. */
     readonly deadlineAt: number;
+    /** The request's identifier for logs; empty where the caller sent none. */
+    readonly requestId: string;
+    /** The header in which callers name their deadline, for forwarding. */
+    readonly deadlineHeader: string;
+    /** Whether its outcome is kept for repeats, beyond its deadline and its caller. */
+    readonly isKept: boolean;
     /** Aborted when the caller leaves. */
     readonly signal: AbortSignal;
 }
--- a/src/settings/definitions.ts
+++ b/src/settings/definitions.ts
@@ -30,17 +30,23 @@
 
     callerListen: address.default("127.0.0.1:8080").describe("Where callers connect, as HOST:PORT; port 0 takes a free one."),
     callerAdvertise: optionalAddress.default("").describe("The callers' address that entries answers give; the listening address where empty."),
+    entriesListen: optionalAddress.default("").describe("Where entries answers are served besides the callers' port, as HOST:PORT; nowhere else where empty."),
+    readyListen: optionalAddress.default("").describe("Where readiness is served besides the operators' port, as HOST:PORT; nowhere else where empty."),
     peerListen: address.default("127.0.0.1:7946").describe("Where peers connect, as HOST:PORT."),
     peerAdvertise: optionalAddress.default("").describe("The address that peers are told; the listening address where empty."),
     operatorListen: address.default("127.0.0.1:9090").describe("Where operators, metrics and the dump are served, as HOST:PORT."),
     operatorAdvertise: optionalAddress.default("").describe("The operators' address that members are told; the listening address where empty."),
     seeds: addressList.default([]).describe("Peer addresses to join through, comma-separated; some of them may be gone."),
 
-    store: z.string().regex(/^(memory:|https?:\/\/.+)$/, "must be memory: or an http(s) URL").default("memory:").describe("The platform's key-value store: memory: for one instance alone, or the URL of an etcd v3 JSON gateway."),
+    store: z.string().regex(/^(memory:|(https?|kv):\/\/.+)$/, "must be memory: or an http(s) URL").default("memory:").describe(
+        "The platform's key-value store: memory: for one instance alone, the URL of an etcd v3 JSON gateway, or that of another store whose adapter the program was built with.",
+    ),
     storePrefix: z.string().regex(/^\/[A-Za-z0-9/_-]*\/$/, "must begin and end with /").default("/agatebend/").describe("The prefix of every key in the store."),
     storeTimeoutMs: createCount(50, 60_000, 2_000).describe("The longest wait for one call to the store, in milliseconds."),
     storeCallsPerSecond: createCount(1, 1_000, 15).describe("The most calls an instance makes to the store in a second, averaged over ten."),
     storeWatchers: createCount(1, 64, 3).describe("How many instances watch the store; the others hear from their peers."),
+    configurationKey: z.string().max(200).default("").describe("The store's key under which another program keeps the configuration; where empty, it is changed by the operators' calls."),
+    upstreamDirectory: z.string().max(200).default("").describe("The prefix of the store's keys under which upstreams register themselves; where empty, the configuration alone names them."),
     configuration: z.string().default("").describe("A configuration file to apply at start where the store holds none."),
 
     sharedSecretFile: z.string().default("").describe("A file with the secret that peers and operators must show; none where empty."),
@@ -62,6 +68,9 @@
     requestBytesHeld: createCount(0, 4_294_967_296, 268_435_456).describe("The most bytes of request bodies held at once."),
     callerConnections: createCount(1, 1_000_000, 10_000).describe("The most callers' connections at once."),
     queueLength: createCount(1, 1_000_000, 1_000).describe("The most queued requests for a service and rank."),
+    retryRatio: z.coerce.number().min(0).max(1).default(0.1).describe("The repeats that the whole fleet may send a service, as a part of its requests."),
+    retrySlack: createCount(0, 1_000_000, 30).describe("The repeats that the whole fleet may send a service in a window beside that part."),
+    retryWindowS: createCount(1, 600, 10).describe("The window in which repeats are counted, in seconds."),
     drainTimeoutMs: createCount(0, 86_400_000, 900_000).describe("The longest graceful shutdown, in milliseconds; what is then in flight is cut."),
 
     maximumPeerLinks: createCount(2, 1_000, 48).describe("The most links that an instance opens to peers."),
@@ -74,7 +83,9 @@
 
     queueing: z.enum(["shares", "strict", "fifo"]).default("shares").describe("Which waiting request is next: ranks by urgency with guaranteed shares, ranks by urgency alone, or the oldest."),
     slotSharing: z.enum(["credits", "random"]).default("credits").describe("How instances share upstreams that are short of slots: by parts computed from all instances' demands, or each by itself."),
-    detection: z.enum(["shared", "local", "consecutive"]).default("shared").describe("How failing upstreams are detected: by the evidence of all instances, by this instance's alone, or by errors in a row."),
+    detection: z.enum(["shared", "local", "consecutive", "fresh"]).default("shared").describe(
+        "How failing upstreams are detected: by the evidence of all instances, by this instance's alone, by errors in a row, or by a belief from the fleet's newest outcomes, without ejections, for upstreams that fail and mend within seconds.",
+    ),
 
     logLevel: z.enum(logger.logLevels).default("info").describe("The least severe log lines that are written."),
 });
--- /dev/null
+++ b/src/standing/chooseByStanding.ts
@@ -0,0 +1,63 @@
+/** Chooses an upstream by what the whole fleet has just seen of it. */
+
+import type * as pool from "../pool/index.js";
+import type * as standingTable from "./standingTable.js";
+
+/** What a request that may be sent again loses where its first attempt fails, as a part of a whole failure. */
+const repeatCost = 0.12;
+/** What finding out is worth for a request that may be sent again, against a whole failure. */
+const findingOutWorth = 0.1;
+/** The age at which an outcome has lost most of its worth, in milliseconds. */
+const findingOutAgeMs = 600;
+/** What a slot's use costs against a whole failure: an upstream that is nearly full is slower. */
+const loadCost = 0.02;
+/** What an answer's kilobyte between failure domains costs against a whole failure. */
+const crossDomainCostPerKilobyte = 0.003;
+const bytesPerKilobyte = 1_000;
+
+/** Options of a choice. */
+export interface ChooseByStandingOptions {
+    readonly upstreams: readonly pool.Upstream[];
+    readonly table: standingTable.StandingTable;
+    readonly now: number;
+    /** The instance's failure domain. */
+    readonly failureDomain: string;
+    /** Whether the request may be sent once more if this attempt fails. */
+    readonly canRepeat: boolean;
+    /** Whether the service has requests that may not be repeated, for whose sake it is worth finding out. */
+    readonly isFindingOutWorthwhile: boolean;
+    /** The usual size of the route's answers, in bytes. */
+    readonly answerBytes: number;
+    /** Identifiers of upstreams that the request has been at. */
+    readonly excluded: ReadonlySet<string>;
+    /** A number from 0 to 1 that tells equals apart. */
+    readonly getFraction: () => number;
+}
+
+/**
+ * Chooses the upstream with the least expected cost among those with a free slot; undefined where none is free.
+ * @param options - The upstreams and the request.
+ * @remarks A request that may be sent again goes where the evidence is oldest, since its failure costs little and tells
+ * the fleet much; any other goes where failure is least likely.
+ */
+export function chooseByStanding(options: ChooseByStandingOptions): pool.Upstream | undefined {
+    const { upstreams, table, now, excluded } = options;
+    const open = upstreams.filter(candidate => !candidate.isLeaving(now) && !candidate.isPaused(now) && !excluded.has(candidate.getId()) && table.getInFlight(candidate, now) < candidate.getSlots());
+    const scored = open.map(candidate => ({ candidate, cost: computeCost(candidate, options) }));
+    return scored.reduce<{ readonly candidate: pool.Upstream; readonly cost: number; } | undefined>((least, next) => least === undefined || next.cost < least.cost ? next : least, undefined)?.candidate;
+}
+
+function computeCost(candidate: pool.Upstream, options: ChooseByStandingOptions): number {
+    const { table, now, failureDomain, canRepeat, isFindingOutWorthwhile, answerBytes, getFraction } = options;
+    const belief = table.getBelief(candidate);
+    const failing = belief.getFailing(now);
+    const load = table.getInFlight(candidate, now) / candidate.getSlots();
+    const distance = candidate.getFailureDomain() === failureDomain ? 0 : (answerBytes / bytesPerKilobyte) * crossDomainCostPerKilobyte;
+    const shared = load * loadCost + distance + getFraction() * 0.001;
+    if (!canRepeat) {
+        return failing + shared;
+    }
+    const ageMs = now - Math.max(belief.getUpdatedAt(), table.getProbedAt(candidate));
+    const finding = isFindingOutWorthwhile ? findingOutWorth * (1 - Math.exp(-ageMs / findingOutAgeMs)) : 0;
+    return failing * repeatCost - finding + shared;
+}
--- /dev/null
+++ b/src/standing/standingTable.ts
@@ -0,0 +1,95 @@
+/** What the whole fleet has seen of each upstream: beliefs, and the attempts under way at other instances. */
+
+import type * as pool from "../pool/index.js";
+import * as belief from "./belief.js";
+
+/** What another instance says of its attempts under way is left out after this silence, in milliseconds. */
+const remoteLifeMs = 20_000;
+
+interface RemoteLoad {
+    readonly inFlight: number;
+    readonly at: number;
+}
+
+interface Standing {
+    readonly belief: belief.Belief;
+    readonly remote: Map<string, RemoteLoad>;
+    probedAt: number;
+}
+
+/** Holds the standing of upstreams; it is told the time, in monotonic milliseconds. */
+export class StandingTable {
+    private readonly standings = new WeakMap<pool.Upstream, Standing>();
+
+    /**
+     * Returns the belief about an upstream.
+     * @param target - The upstream.
+     */
+    getBelief(target: pool.Upstream): belief.Belief {
+        return this.getStanding(target).belief;
+    }
+
+    /**
+     * Returns how many requests the fleet has under way at an upstream.
+     * @param target - The upstream.
+     * @param now - The time.
+     */
+    getInFlight(target: pool.Upstream, now: number): number {
+        let sum = target.getInFlight();
+        for (const { inFlight, at } of this.getStanding(target).remote.values()) {
+            sum += now - at < remoteLifeMs ? inFlight : 0;
+        }
+        return sum;
+    }
+
+    /**
+     * Returns when any instance last sent the upstream a request.
+     * @param target - The upstream.
+     */
+    getProbedAt(target: pool.Upstream): number {
+        return this.getStanding(target).probedAt;
+    }
+
+    /**
+     * Records that a request was sent.
+     * @param target - The upstream.
+     * @param now - The time.
+     */
+    recordSent(target: pool.Upstream, now: number): void {
+        this.getStanding(target).probedAt = now;
+    }
+
+    /**
+     * Records how many requests another instance has under way.
+     * @param target - The upstream.
+     * @param origin - The other instance.
+     * @param inFlight - Its requests under way.
+     * @param now - The time.
+     */
+    recordRemote(target: pool.Upstream, origin: string, inFlight: number, now: number): void {
+        const standing = this.getStanding(target);
+        if (inFlight > (standing.remote.get(origin)?.inFlight ?? 0)) {
+            standing.probedAt = now;
+        }
+        if (inFlight === 0) {
+            standing.remote.delete(origin);
+            return;
+        }
+        standing.remote.set(origin, { inFlight, at: now });
+    }
+
+    /**
+     * Forgets what an instance that is gone had under way.
+     * @param targets - The upstreams.
+     * @param origin - The instance.
+     */
+    removeOrigin(targets: readonly pool.Upstream[], origin: string): void {
+        targets.forEach(target => this.standings.get(target)?.remote.delete(origin));
+    }
+
+    private getStanding(target: pool.Upstream): Standing {
+        const known = this.standings.get(target) ?? { belief: new belief.Belief(), remote: new Map<string, RemoteLoad>(), probedAt: -Infinity };
+        this.standings.set(target, known);
+        return known;
+    }
+}
--- a/src/store/etcdStore.ts
+++ b/src/store/etcdStore.ts
@@ -110,7 +110,7 @@
             if (!isClosed) {
                 isClosed = true;
                 sent.destroy();
-                request.onBroken();
+                request.onBroken(true);
             }
         };
         const sent = this.transport.request(`${this.url}/v3/watch`, { method: "POST", headers: { "content-type": "application/json" } });
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -8,8 +8,10 @@
 import "./memoryStore.js";
 import * as types from "./types.js";
 
+export { registerAdapter } from "./adapters.js";
+export { type CreatePrefixFollowerOptions, PrefixFollower } from "./prefixFollower.js";
 export { storeKey, type StoreService } from "./types.js";
-export type { Entry, Listing, Store, StoreResult, SwapAnswer, SwapRequest, WatchEvent, WatchRequest } from "./types.js";
+export type { Entry, Listing, Store, StoreAdapter, StoreResult, SwapAnswer, SwapRequest, WatchEvent, WatchRequest } from "./types.js";
 
 function createStore(shared: context.Context): types.Store {
     const adapter = adapters.getAdapter(shared.settings.store);
--- /dev/null
+++ b/src/store/prefixFollower.ts
@@ -0,0 +1,165 @@
+/** Keeps a copy of the entries under a prefix: reads them once, follows the watch, and reads again after every loss of it. */
+
+import type * as context from "../kernel/context.js";
+import type * as loop from "../kernel/loop.js";
+import type * as types from "./types.js";
+
+/** Shortest and longest wait before the entries are read again after a loss, in milliseconds. */
+const minimumRetryMs = 100;
+const maximumRetryMs = 1_000;
+/** The store gives lapsed entries this long to return after its outage, in milliseconds; published by the platform. */
+const returnGraceMs = 2_000;
+/** Milliseconds between two looks at entries whose grace is over. */
+const graceLookMs = 100;
+
+/** Options of a follower. */
+export interface CreatePrefixFollowerOptions {
+    readonly context: context.Context;
+    readonly store: types.StoreService;
+    readonly prefix: string;
+    /** Called after each change with all entries by key. */
+    readonly onChange: (entries: ReadonlyMap<string, types.Entry>) => void;
+}
+
+/** Follows one prefix. */
+export class PrefixFollower {
+    private entries = new Map<string, types.Entry>();
+    /** Entries that were missing right after an outage, and until when they may return. */
+    private readonly missing = new Map<string, number>();
+    private closeWatch?: () => void;
+    private cancelRetry?: loop.Cancel;
+    private retryMs = minimumRetryMs;
+    private hasRead = false;
+    private isStopped = false;
+    private wasAway = false;
+    /** Until when a removal may be the work of an outage. */
+    private graceUntil = -Infinity;
+    private readAt = -Infinity;
+
+    constructor(private readonly options: CreatePrefixFollowerOptions) {}
+
+    /** Begins to follow. */
+    start(): void {
+        this.options.context.loop.scheduleRepeatedly(graceLookMs, () => this.removeOverdue());
+        void this.readEntries();
+    }
+
+    /** Stops following. */
+    stop(): void {
+        this.isStopped = true;
+        this.cancelRetry?.();
+        this.closeWatch?.();
+    }
+
+    /** Returns whether the entries have been read since the start. */
+    isRead(): boolean {
+        return this.hasRead;
+    }
+
+    /** Gives up the watch and reads everything again, as after a time in which the process stood still. */
+    readAgain(): void {
+        this.closeWatch?.();
+        this.closeWatch = undefined;
+        this.scheduleRead(0);
+    }
+
+    /** Returns the follower's state for the dump. */
+    getDump(): unknown {
+        return { prefix: this.options.prefix, entries: this.entries.size, isWatching: this.closeWatch !== undefined, missing: [...this.missing.keys()], readAgeMs: Math.round(this.options.context.clock.getNow() - this.readAt) };
+    }
+
+    private scheduleRead(delayMs: number): void {
+        if (this.isStopped) {
+            return;
+        }
+        this.cancelRetry?.();
+        this.cancelRetry = this.options.context.loop.scheduleOnce(delayMs, () => void this.readEntries());
+    }
+
+    private async readEntries(): Promise<void> {
+        const { context: { clock, logger }, store, prefix } = this.options;
+        const listing = await store.listEntries(prefix);
+        if (this.isStopped) {
+            return;
+        }
+        if (listing.isErr()) {
+            this.wasAway = this.hasRead;
+            this.scheduleRead(this.retryMs);
+            this.retryMs = Math.min(maximumRetryMs, this.retryMs * 2);
+            return;
+        }
+        this.retryMs = minimumRetryMs;
+        const now = clock.getNow();
+        const found = new Map(listing.value.entries.map(entry => [entry.key, entry]));
+        if (this.wasAway) {
+            this.graceUntil = now + returnGraceMs;
+        }
+        this.wasAway = false;
+        const lapsed = now < this.graceUntil ? [...this.entries].filter(([key]) => !found.has(key)) : [];
+        lapsed.forEach(([key, entry]) => this.addMissing(key, entry, found));
+        [...found.keys()].filter(key => !lapsed.some(([missing]) => missing === key)).forEach(key => this.missing.delete(key));
+        this.entries = found;
+        this.hasRead = true;
+        this.readAt = now;
+        logger.writeInfo("directory-read", `${listing.value.entries.length} entries of ${prefix} were read`, { prefix, entries: listing.value.entries.length, revision: listing.value.revision, lapsed: lapsed.length });
+        this.openWatch(listing.value.revision);
+        this.options.onChange(this.entries);
+    }
+
+    /** An outage may have ended the lease of an upstream that is well; its entry then returns within the grace. */
+    private addMissing(key: string, entry: types.Entry, found: Map<string, types.Entry>): void {
+        found.set(key, entry);
+        if (!this.missing.has(key)) {
+            this.missing.set(key, this.graceUntil);
+        }
+    }
+
+    private openWatch(revision: number): void {
+        this.closeWatch?.();
+        const { store, prefix } = this.options;
+        const close = store.watchPrefix({
+            prefix,
+            fromRevision: revision + 1,
+            onEvent: event => this.receiveEvent(event),
+            onBroken: wasAway => {
+                if (this.closeWatch === close) {
+                    this.closeWatch = undefined;
+                    this.wasAway ||= wasAway;
+                    this.scheduleRead(0);
+                }
+            },
+            onResumed: () => {
+                this.graceUntil = this.options.context.clock.getNow() + returnGraceMs;
+            },
+        });
+        this.closeWatch = close;
+    }
+
+    private receiveEvent(event: types.WatchEvent): void {
+        if (event.kind === "put") {
+            this.missing.delete(event.entry.key);
+            this.entries.set(event.entry.key, event.entry);
+        }
+        else if (this.options.context.clock.getNow() < this.graceUntil) {
+            this.missing.set(event.key, this.graceUntil);
+        }
+        else {
+            this.missing.delete(event.key);
+            this.entries.delete(event.key);
+        }
+        this.options.onChange(this.entries);
+    }
+
+    private removeOverdue(): void {
+        const now = this.options.context.clock.getNow();
+        const overdue = [...this.missing].filter(([, until]) => until <= now);
+        if (overdue.length === 0 || this.closeWatch === undefined) {
+            return;
+        }
+        overdue.forEach(([key]) => {
+            this.missing.delete(key);
+            this.entries.delete(key);
+        });
+        this.options.onChange(this.entries);
+    }
+}
--- a/src/store/types.ts
+++ b/src/store/types.ts
@@ -39,8 +39,10 @@
     /** The first revision to report. */
     readonly fromRevision: number;
     readonly onEvent: (event: WatchEvent) => void;
-    /** Called once when the watch ends without being closed. */
-    readonly onBroken: () => void;
+    /** Called once when the watch ends without being closed; tells whether the store was away, rather than its history gone. */
+    readonly onBroken: (wasAway: boolean) => void;
+    /** Called when the watch goes on, with no event lost, after the store was away. */
+    readonly onResumed?: () => void;
 }
 
 /** What a read of several keys returns. */
--- a/test/configuration/findRoute.test.ts
+++ b/test/configuration/findRoute.test.ts
@@ -15,7 +15,7 @@
 void tap.test("the longest prefix of whole segments wins", async t => {
     const paths = ["/", "/lists", "/lists/old", "/files/"];
     const current = compiled.createCompiled({ version: 1, changeId: "c", chunks: {}, recent: [] }, createDocument(paths));
-    const doTest = (method: string, path: string, expected: string | undefined) => t.equal(configuration.findRoute(current, method, path)?.pathPrefix, expected, `${method} ${path}`);
+    const doTest = (method: string, path: string, expected: string | undefined) => t.equal(configuration.findRoute(current, { method, path })?.pathPrefix, expected, `${method} ${path}`);
     doTest("GET", "/", "/");
     doTest("GET", "/lists", "/lists");
     doTest("GET", "/lists/", "/lists");
@@ -25,6 +25,8 @@
     doTest("GET", "/lists/older", "/lists");
     doTest("GET", "/files/a/b/c", "/files/");
     doTest("POST", "/lists", undefined);
+    doTest("GET", "/files/", "/files/");
+    doTest("GET", "/files", "/");
 });
 
 void tap.test("chunks", async t => {
--- a/test/orders/atMostOnce.property.test.ts
+++ b/test/orders/atMostOnce.property.test.ts
@@ -53,6 +53,8 @@
                 once.runOnce({
                     context: { clock: time, loop: timers, settings: { bodyIdleTimeoutMs: 1_000, requestBodyBytes: 100 } },
                     marks: { addMark: () => {} },
+                    getBudget: () => ({ addRequest: () => {} }),
+                    waitForRetry: async () => true,
                     getServiceDefinition: () => ({}),
                     acquireSlot: async () => {
                         await scheduler.schedule(Promise.resolve());
@@ -71,7 +73,7 @@
                         await scheduler.schedule(Promise.resolve());
                         return createResult(kind) as never;
                     },
-                } as unknown as executorContext.ExecutorContext, { route: { service: "s" }, deadlineAt: deadlineMs } as unknown as types.FleetRequest);
+                } as unknown as executorContext.ExecutorContext, { route: { service: "s", maximumAttempts: 10 }, deadlineAt: deadlineMs } as unknown as types.FleetRequest);
             const sendOrder = async ({ key, fingerprint }: { key: string; fingerprint: string; }) => {
                 await scheduler.schedule(Promise.resolve());
                 const beginning = held.admitKey(key, fingerprint, deadlineMs * 2, time.getNow());
--- a/test/requests/rangeResume.test.ts
+++ b/test/requests/rangeResume.test.ts
@@ -1,3 +1,4 @@
+import * as clock from "../../src/kernel/clock.js";
 /** Which bodies may be continued elsewhere, and what is exactly their rest. */
 
 import type * as http from "node:http";
@@ -39,7 +40,7 @@
 });
 
 void tap.test("retries are bounded by the traffic", async t => {
-    const budget = new retryBudget.RetryBudget();
+    const budget = new retryBudget.RetryBudget({ clock: clock.createVirtualClock(), ratio: 0.1, slack: 10, windowMs: 10_000, countInstances: () => 1 });
     let taken = 0;
     for (let request = 0; request < 1_000; request += 1) {
         budget.addRequest();
