Bound repeats at every service, give up addresses that answer 421, tell a cut instance from a store that was away

Besides: refusals at idle upstreams are evidence, anti-entropy stays within a failure domain in four of five rounds, agatebend explain.

--- a/scripts/emulate.ts
+++ b/scripts/emulate.ts
@@ -3,6 +3,8 @@
 import * as fs from "node:fs";
 import * as path from "node:path";
 import { parseArgs } from "node:util";
+import * as failures from "../test/harness/failures.js";
+import * as processes from "../test/harness/processes.js";
 import * as platform from "../test/harness/platform.js";
 
 const { values } = parseArgs({
@@ -17,6 +19,8 @@
         turn: { type: "string", default: "2700" },
         /** A directory for the instances' logs. */
         logs: { type: "string", default: "" },
+        /** Ends with three requests that fail, as docs/OPERATIONS.md follows them. */
+        failures: { type: "boolean", default: false },
         help: { type: "boolean", default: false },
     },
 });
@@ -47,6 +51,10 @@
     await Promise.all(pending);
     turns.forEach(clearInterval);
     printTallies(tallies);
+    await printTraffic(instances);
+    if (values.failures) {
+        process.stdout.write(`${JSON.stringify(await failures.createFailures(site, instances[0]!))}\n`);
+    }
     if (values.logs !== "") {
         fs.mkdirSync(values.logs, { recursive: true });
         instances.forEach(instance => fs.writeFileSync(path.join(values.logs, `${instance.id}.log`), `${instance.process.lines.join("\n")}\n`));
@@ -68,6 +76,16 @@
     tally[answer?.status === 503 ? "refused" : "failed"] += 1;
 }
 
+/** Prints what the instances sent each other and the store, each second and instance. */
+async function printTraffic(instances: readonly platform.PlatformInstance[]): Promise<void> {
+    const texts = await Promise.all(instances.map(async instance => (await processes.sendRequest(`http://${instance.addresses.operator}/metrics`)).body.toString()));
+    const computeRate = (pattern: RegExp) => texts.flatMap(text => [...text.matchAll(pattern)]).reduce((sum, found) => sum + Number(found[1]), 0) / instances.length / seconds;
+    const near = computeRate(/agatebend_peer_bytes_total\{direction="sent",domain="own"\} (\S+)/g);
+    const far = computeRate(/agatebend_peer_bytes_total\{direction="sent",domain="other"\} (\S+)/g);
+    const processor = computeRate(/agatebend_process_cpu_seconds_total (\S+)/g);
+    process.stdout.write(`each instance: ${(near / 1_000).toFixed(2)} KB/s to peers of its domain, ${(far / 1_000).toFixed(2)} KB/s to others, ${(100 * processor).toFixed(1)} % of a core, its start included\n`);
+}
+
 function printTallies(tallies: ReadonlyMap<string, Tally>): void {
     for (const [route, { served, refused, failed, latenciesMs }] of tallies) {
         const sorted = [...latenciesMs].sort((a, b) => a - b);
@@ -77,7 +95,7 @@
 }
 
 if (values.help) {
-    process.stdout.write("npm run emulate -- [--instances N] [--workers N] [--seconds S] [--rate REQUESTS_PER_S] [--failing PART] [--turn MS] [--logs DIRECTORY]\n");
+    process.stdout.write("npm run emulate -- [--instances N] [--workers N] [--seconds S] [--rate REQUESTS_PER_S] [--failing PART] [--turn MS] [--logs DIRECTORY] [--failures]\n");
 }
 else {
     await runEmulation();
--- a/src/callers/handler.ts
+++ b/src/callers/handler.ts
@@ -189,13 +189,13 @@
         const kept = await this.waitForOutcome(orderService.runOrder(fleetRequest, keyText, forwardedBy), fleetRequest.deadlineAt);
         answer.writeOutcome(response, kept, shared);
         const outcome = kept.kind === "answer" ? kept.outcome : errors.getAnswer(kept.error).outcome;
-        this.recordEnd(fleetRequest, startedAt, { outcome, status: response.statusCode, attempts: kept.attempts, error: kept.kind === "error" ? kept.error : undefined });
+        this.recordEnd(fleetRequest, startedAt, { outcome, status: response.statusCode, attempts: kept.attempts, error: kept.kind === "error" ? kept.error : undefined, body: "none" });
     }
 
-    private recordEnd(request: requests.FleetRequest, startedAt: number, end: Pick<requests.ExecutionSummary, "outcome" | "status" | "attempts" | "error">): void {
+    private recordEnd(request: requests.FleetRequest, startedAt: number, end: Pick<requests.ExecutionSummary, "outcome" | "status" | "attempts" | "error" | "body">): void {
         const { route: { name: route, service, rank }, requestId, trail } = request;
         const latencyMs = this.options.context.clock.getNow() - startedAt;
-        const { outcome, status, attempts, error } = end;
+        const { outcome, status, attempts, error, body } = end;
         this.metrics.recordRequest({ service, rank, outcome, status, latencyMs });
         this.log.writeEnd({
             requestId,
@@ -210,6 +210,7 @@
             deadlineMs: request.deadlineAt - startedAt,
             configurationVersion: this.options.configuration.getCurrent()?.head.version ?? 0,
             error,
+            body,
         });
     }
 
--- a/src/callers/requestLog.ts
+++ b/src/callers/requestLog.ts
@@ -2,6 +2,7 @@
 
 import type * as context from "../kernel/context.js";
 import type * as errors from "../kernel/errors.js";
+import type * as requests from "../requests/index.js";
 
 /** One of so many requests that ended well is logged. */
 const successSample = 16;
@@ -21,6 +22,8 @@
     readonly deadlineMs: number;
     readonly configurationVersion: number;
     readonly error: errors.FleetError | undefined;
+    /** How the answer's body ended; `none` where it was not passed on as it came. */
+    readonly body: requests.ExecutionSummary["body"];
 }
 
 /** Writes the lines; those that ended well are sampled. */
@@ -35,7 +38,8 @@
      */
     writeEnd(end: RequestEnd): void {
         const { logger } = this.shared;
-        const isGood = end.error === undefined && end.status < 500;
+        const isBodyGood = end.body === "whole" || end.body === "none";
+        const isGood = end.error === undefined && end.status < 500 && isBodyGood;
         if (isGood) {
             this.successes += 1;
             if (this.successes % successSample !== 0) {
@@ -48,6 +52,10 @@
             logger.writeInfo("request-answered", `the request was answered ${end.status}`, values);
             return;
         }
+        if (!isBodyGood) {
+            logger.writeWarning("answer-cut", end.body === "callerGone" ? "the caller left before the answer was whole" : "the upstream's answer broke off, and so did the caller's", values);
+            return;
+        }
         logger.writeWarning(error === undefined ? "request-failed-upstream" : "request-refused", `the request was answered ${end.status}`, values);
     }
 
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -4,6 +4,7 @@
 import * as settings from "../settings/index.js";
 import * as clientCommands from "./clientCommands.js";
 import * as exitStatus from "./exitStatus.js";
+import * as explain from "./explain.js";
 import * as follow from "./follow.js";
 import * as serve from "./serve.js";
 import * as settingsFile from "./settingsFile.js";
@@ -70,6 +71,10 @@
             command
                 .positional("file", { type: "string", demandOption: true, describe: "The configuration file, JSON." })
                 .option("json", clientFlags.json), values => clientCommands.runCheck(values))
+        .command("explain <files..>", "Tell one request's story from the logs of several instances.", command =>
+            command
+                .positional("files", { type: "string", array: true, demandOption: true, describe: "Log files, JSON lines." })
+                .option("request", { type: "string", demandOption: true, describe: "The request's identifier." }), values => explain.runExplain(values))
         .demandCommand(1, "Name a command.")
         .strict()
         .version(version)
--- a/src/discovery/directory.ts
+++ b/src/discovery/directory.ts
@@ -22,8 +22,10 @@
 
 /** Milliseconds between two questions to a peer while the store has not answered. */
 const borrowIntervalMs = 250;
+/** The most peers that are asked about missing entries. */
+const askedPeers = 3;
 const topic = "directory";
-const replySchema = z.object({ entries: z.array(z.object({ key: z.string(), value: z.string(), revision: z.number() })).max(100_000) });
+const replySchema = z.object({ steadyMs: z.number(), entries: z.array(z.object({ key: z.string(), value: z.string(), revision: z.number() })).max(100_000) });
 const entrySchema = z.strictObject({ service: z.string(), definition: configuration.upstreamSchema });
 
 /** Options of a directory. */
@@ -44,8 +46,8 @@
 
     constructor(private readonly options: CreateDirectoryOptions) {
         const { context: shared } = options;
-        options.mesh.setHandler(topic, async () => ok({ entries: this.follower.isRead() ? [...this.follower.listEntries()] : [] }));
-        this.follower = new store.PrefixFollower({ context: shared, store: options.store, prefix: shared.settings.upstreamDirectory, onChange: entries => this.receiveEntries(entries) });
+        options.mesh.setHandler(topic, async () => ok({ steadyMs: this.follower.getSteadyMs(), entries: this.follower.isRead() ? [...this.follower.listEntries()] : [] }));
+        this.follower = new store.PrefixFollower({ context: shared, store: options.store, prefix: shared.settings.upstreamDirectory, onChange: entries => this.receiveEntries(entries), onMissing: () => void this.checkMissing() });
     }
 
     /** Begins to follow the directory. */
@@ -75,6 +77,31 @@
         this.options.pool.setDiscovered([...this.parsed.values()].flatMap(({ found }) => found ?? []));
     }
 
+    /**
+     * Asks a peer about entries that are missing after the store was away from here: where the peer has followed the
+     * store all the while and lacks them too, it was this instance that was cut off, and they are gone.
+     */
+    private async checkMissing(): Promise<void> {
+        const { mesh, context: { logger } } = this.options;
+        const silenceMs = this.follower.getSilenceMs();
+        for (const peer of mesh.listLinkedPeers().slice(0, askedPeers)) {
+            const answer = await mesh.sendRequest(peer, topic, {});
+            const reply = answer.isOk() ? replySchema.safeParse(answer.value).data : undefined;
+            if (reply !== undefined && reply.steadyMs > silenceMs) {
+                const known = new Set(reply.entries.map(entry => entry.key));
+                const gone = this.follower.listMissing().filter(key => !known.has(key));
+                logger.writeInfo("directory-missing-checked", `${gone.length} missing entries are gone, since ${peer} has followed the store all the while and lacks them`, {
+                    peer,
+                    steadyMs: Math.round(reply.steadyMs),
+                    silenceMs: Math.round(silenceMs),
+                    gone: gone.length,
+                });
+                this.follower.removeMissing(gone);
+                return;
+            }
+        }
+    }
+
     /** While the store does not answer a started instance, a peer's word is better than none. */
     private async readFromPeer(): Promise<void> {
         const { mesh, context: { randomness, logger } } = this.options;
--- a/src/peers/dialer.ts
+++ b/src/peers/dialer.ts
@@ -26,7 +26,7 @@
     readonly context: context.Context;
     readonly events: link.LinkEvents;
     readonly listTargets: () => readonly DialTarget[];
-    readonly countBytes: (direction: "sent" | "received", bytes: number) => void;
+    readonly countBytes: link.CreatePeerLinkOptions["countBytes"];
 }
 
 interface Attempt {
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -32,7 +32,7 @@
     readonly context: context.Context;
     readonly secret: string;
     readonly events: LinkEvents;
-    readonly countBytes: (direction: "sent" | "received", bytes: number) => void;
+    readonly countBytes: (direction: "sent" | "received", bytes: number, peer: PeerIdentity | undefined) => void;
 }
 
 type Handshake =
@@ -118,13 +118,13 @@
 
     private writeMessage(message: wire.Message): void {
         const frame = wire.encodeFrame(message);
-        this.options.countBytes("sent", frame.length);
+        this.options.countBytes("sent", frame.length, this.getPeer());
         this.options.socket.write(frame);
     }
 
     private receiveChunk(chunk: Buffer): void {
         this.receivedAt = this.options.context.clock.getNow();
-        this.options.countBytes("received", chunk.length);
+        this.options.countBytes("received", chunk.length, this.getPeer());
         this.reader.readFrames(chunk)
             .andThen(bodies => {
                 for (const body of bodies) {
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -16,6 +16,8 @@
 /** Rounds of anti-entropy between two direct heartbeats to every link. */
 const roundsPerHeartbeat = 2;
 
+/** Of so many rounds of anti-entropy, one may go to another failure domain. */
+const roundsPerFarDigest = 5;
 /** The topic of the registers that describe members. */
 const memberTopic = "member";
 
@@ -34,7 +36,7 @@
     private readonly noticeHandlers = new Map<string, RegisterListener>();
     private readonly lossListeners: ((peerId: string) => void)[] = [];
     private readonly dialer: dialer.Dialer;
-    private readonly bytes: promClient.Counter;
+    private readonly bytes: promClient.Counter<"direction" | "domain">;
     private member: members.MemberDescription;
     private round = 0;
 
@@ -42,11 +44,11 @@
         const { settings, identity, metrics } = shared;
         this.table = new registers.RegisterTable({ selfId: identity.instanceId, incarnation: identity.incarnation, deadAfterMs: settings.deadAfterMs });
         this.pending = new pendingRequests.PendingRequests(shared.loop, settings.peerTimeoutMs);
-        this.bytes = new promClient.Counter({ name: "agatebend_peer_bytes_total", help: "Bytes on links to peers.", labelNames: ["direction"], registers: [metrics] });
+        this.bytes = new promClient.Counter({ name: "agatebend_peer_bytes_total", help: "Bytes on links to peers of the own and of other failure domains.", labelNames: ["direction", "domain"], registers: [metrics] });
         this.member = { failureDomain: identity.failureDomain, callerAddress: "", peerAddress: "", operatorAddress: "", state: "starting", configurationVersion: 0 };
         this.dialer = new dialer.Dialer({
             context: shared,
-            countBytes: (direction, bytes) => this.bytes.inc({ direction }, bytes),
+            countBytes: (direction, bytes, peer) => this.bytes.inc({ direction, domain: peer?.failureDomain === identity.failureDomain ? "own" : "other" }, bytes),
             listTargets: () => this.listDialTargets(),
             events: {
                 onOpen: opened => this.receiveOpen(opened),
@@ -229,8 +231,7 @@
         if (this.round % roundsPerHeartbeat === 0) {
             this.sendToAll({ type: "heartbeat", incarnation: this.shared.identity.incarnation, heartbeat });
         }
-        const peers = this.dialer.listPeers();
-        const chosen = peers[Math.floor(this.shared.randomness.getFraction() * peers.length)];
+        const chosen = this.chooseDigestPeer();
         if (chosen !== undefined) {
             this.dialer.getLink(chosen)?.sendMessage({ type: "digest", entries: [...this.table.getDigest()], isReply: false });
         }
@@ -239,6 +240,16 @@
         }
     }
 
+    /** Chooses a peer of the own failure domain in most rounds, since bytes between domains are dear. */
+    private chooseDigestPeer(): string | undefined {
+        const { identity, randomness } = this.shared;
+        const peers = this.dialer.listPeers();
+        const near = peers.filter(peerId => this.dialer.getLink(peerId)?.getPeer()?.failureDomain === identity.failureDomain);
+        const isFarTurn = near.length === 0 || this.round % roundsPerFarDigest === 0;
+        const choice = isFarTurn ? peers : near;
+        return choice[Math.floor(randomness.getFraction() * choice.length)];
+    }
+
     private sendToAll(message: wire.Message): void {
         this.dialer.listPeers().forEach(peerId => this.dialer.getLink(peerId)?.sendMessage(message));
     }
--- a/src/pool/leavingMarks.ts
+++ b/src/pool/leavingMarks.ts
@@ -42,16 +42,17 @@
     }
 
     /**
-     * Marks an upstream that announced on an answer that it leaves.
+     * Marks an upstream whose answer shows that it gets no more work.
      * @param target - The upstream.
+     * @param reason - What the answer shows.
      */
-    addMark(target: upstream.Upstream): void {
+    addMark(target: upstream.Upstream, reason: string): void {
         const now = this.options.context.clock.getNow();
         const wasLeaving = target.isLeaving(now);
         target.setLeaving(now + markMs);
         this.own.set(`${target.service}/${target.getId()}`, { target, until: now + markMs });
         if (!wasLeaving) {
-            this.options.context.logger.writeInfo("upstream-leaving", `${target.service}/${target.getId()} announced that it leaves`, { service: target.service, upstream: target.getId() });
+            this.options.context.logger.writeInfo("upstream-leaving", `${target.service}/${target.getId()} gets no more work: ${reason}`, { service: target.service, upstream: target.getId(), address: target.getAddress(), reason });
             this.publishMarks(now);
         }
     }
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -14,6 +14,8 @@
 /** The longest wait for a connection, in milliseconds; upstreams are milliseconds away, and one without power never answers. */
 const connectTimeoutMs = 400;
 
+const misdirected = "another upstream has its address";
+
 /** The result of an attempt, up to the answer's header. */
 export type AttemptResult =
     | { readonly kind: "answered"; readonly response: http.IncomingMessage; }
@@ -37,8 +39,8 @@
     readonly signal: AbortSignal;
     /** Headers that this attempt adds, as name and value in turn. */
     readonly extraHeaders?: readonly string[];
-    /** Called when the upstream announces on its answer that it leaves. */
-    readonly onDraining: () => void;
+    /** Called when the answer shows that the upstream leaves, or that another one has its address. */
+    readonly onLeaving: (reason: string) => void;
     /** Called repeatedly while there is no answer; returns the milliseconds until the next call, or that the attempt is over. */
     readonly getPatience: (ageMs: number) => number | "over";
 }
@@ -78,9 +80,12 @@
         sent.on("response", response => {
             answerIntegrity.watchAnswer(sent, response);
             if (response.headers[service.drainingHeader] !== undefined) {
-                options.onDraining();
+                options.onLeaving("it announced that it leaves");
             }
             const refusal = getRefusal(response, service);
+            if (refusal === misdirected) {
+                options.onLeaving(misdirected);
+            }
             if (refusal !== undefined) {
                 response.on("error", () => {});
                 response.resume();
@@ -108,7 +113,7 @@
 function getRefusal(response: http.IncomingMessage, service: configuration.ServiceDefinition): string | undefined {
     const { shed, identityHeader } = service;
     if (identityHeader !== undefined && response.statusCode === 421) {
-        return "another upstream has the address";
+        return misdirected;
     }
     const isStatus = shed.status === "any" || response.statusCode === shed.status;
     return isStatus && response.headers[shed.header] !== undefined ? `status ${response.statusCode} with ${shed.header}` : undefined;
--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -19,8 +19,6 @@
 const idleConnections = 2;
 /** How long an idle connection is kept, in milliseconds; below the usual patience of servers. */
 const idleConnectionMs = 4_000;
-/** The time in which a started instance meets the others; until then it takes no part of what the fleet shares, in milliseconds. */
-const meetingMs = 3_000;
 
 /** The key of the executors' context. */
 export const executorKey = services.createKey<executorContext.ExecutorContext>("executor");
@@ -40,7 +38,7 @@
                 pool: shared.services.getService(pool.poolKey),
                 marks: shared.services.getService(pool.leavingMarksKey),
                 agent,
-                countInstances: () => shared.clock.getNow() - startedAt < meetingMs ? Infinity : mesh.listMembers().length,
+                countInstances: () => shared.clock.getNow() - startedAt < shared.settings.retryWindowS * 1_000 ? Infinity : mesh.listMembers().length,
             }),
         );
         return { stop: async () => agent.destroy() };
--- a/src/requests/once.ts
+++ b/src/requests/once.ts
@@ -57,7 +57,7 @@
         request,
         agent: undefined,
         signal: new AbortController().signal,
-        onDraining: () => shared.marks.addMark(slot.upstream),
+        onLeaving: reason => shared.marks.addMark(slot.upstream, reason),
         getPatience: () => {
             const remainingMs = request.deadlineAt + (request.isKept ? keptGraceMs : 0) - clock.getNow();
             return remainingMs <= 0 ? "over" : remainingMs;
@@ -69,9 +69,9 @@
             release("shed");
             return await shared.waitForRetry(request) ? "again" : { kind: "error", error: errors.createError("overloaded", `the upstream refused the request: ${reason}`), attempts };
         })
-        .with({ kind: "unreachable" }, (): StepResult => {
+        .with({ kind: "unreachable" }, async ({ reason }): Promise<StepResult> => {
             release("unreachable");
-            return "again";
+            return await shared.waitForRetry(request) ? "again" : { kind: "error", error: errors.createError("upstreamUnavailable", `the upstream could not be reached: ${reason}`), attempts };
         })
         .with({ kind: "lost" }, ({ reason }): StepResult => {
             release("failed");
--- a/src/requests/repeatable.ts
+++ b/src/requests/repeatable.ts
@@ -88,13 +88,12 @@
             agent: shared.agent,
             signal: request.signal,
             extraHeaders,
-            onDraining: () => shared.marks.addMark(target),
+            onLeaving: reason => shared.marks.addMark(target, reason),
             getPatience: ageMs => getPatience(shared, request, progress, target, ageMs),
         });
         const next = await match(result)
             .with({ kind: "answered" }, ({ response }): OpenResult | "again" => receiveAnswer(shared, request, progress, slot.value, response))
-            .with({ kind: "shed" }, ({ reason }) => retryShed(shared, request, progress, slot.value, reason))
-            .with({ kind: "unreachable" }, () => retryUnsent(progress, slot.value))
+            .with({ kind: "shed" }, { kind: "unreachable" }, unsent => retryUnsent(shared, request, progress, slot.value, unsent))
             .with({ kind: "lost" }, ({ reason }) => retrySent(shared, request, progress, slot.value, "failed", errors.createError("answerLost", `the answer was lost: ${reason}`)))
             .with({ kind: "timedOut" }, () => retryOverdue(shared, request, progress, slot.value))
             .with({ kind: "cancelled" }, (): OpenResult => {
@@ -148,22 +147,21 @@
     return progress.sent < request.route.maximumAttempts && !request.signal.aborted && shared.getBudget(request.route.service).acquireRetry();
 }
 
-/** The upstream has not seen the request, so another one may have it without touching the budget. */
-function retryUnsent(progress: Progress, slot: admission.Slot): "again" {
-    slot.release("unreachable");
-    progress.excluded.add(slot.upstream.getId());
-    return "again";
-}
-
-/** The upstream has not run the request, but it was troubled with it, so that a repeat counts. */
-async function retryShed(shared: executorContext.ExecutorContext, request: types.FleetRequest, progress: Progress, slot: admission.Slot, reason: string): Promise<OpenResult | "again"> {
-    slot.release("shed");
+/** The upstream has not run the request, but it may have been troubled with it, so that a repeat counts. */
+async function retryUnsent(
+    shared: executorContext.ExecutorContext,
+    request: types.FleetRequest,
+    progress: Progress,
+    slot: admission.Slot,
+    { kind, reason }: { readonly kind: "shed" | "unreachable"; readonly reason: string; },
+): Promise<OpenResult | "again"> {
+    slot.release(kind);
     progress.excluded.add(slot.upstream.getId());
     if (await shared.waitForRetry(request)) {
         return "again";
     }
-    const message = `the upstream refused the request: ${reason}`;
-    return { kind: "error", error: progress.sent === 0 ? errors.createError("overloaded", message) : errors.createError("answerLost", `an attempt was sent and lost; then ${message}`) };
+    const message = `the upstream did not take the request: ${reason}`;
+    return { kind: "error", error: progress.sent === 0 ? errors.createError(kind === "shed" ? "overloaded" : "upstreamUnavailable", message) : errors.createError("answerLost", `an attempt was sent and lost; then ${message}`) };
 }
 
 function retrySent(shared: executorContext.ExecutorContext, request: types.FleetRequest, progress: Progress, slot: admission.Slot, outcome: pool.AttemptOutcome, error: errors.FleetError): OpenResult | "again" {
@@ -234,6 +232,9 @@
         return !isOver && isRetryAcquired(shared, request, progress) ? "again" : createErrorSummary(error, progress);
     }
     current.release(getFinalOutcome(result.kind, status));
+    if (result.kind !== "whole") {
+        request.trail.push(`[${current.upstream.getId()} (its body ended as ${result.kind} after ${result.bytes} bytes)]`);
+    }
     return { outcome, status, attempts: progress.attempts, body: result.kind };
 }
 
--- a/src/requests/retryBudget.ts
+++ b/src/requests/retryBudget.ts
@@ -4,6 +4,8 @@
 
 /** The window is counted in this many parts. */
 const partsPerWindow = 20;
+/** The part of its allowance that an instance uses; repeats reach their upstreams later than they are counted. */
+const usedPart = 0.9;
 
 /** Options of a budget. */
 export interface CreateRetryBudgetOptions {
@@ -47,11 +49,12 @@
 
     /** Returns the repeats that are left. */
     getRemaining(): number {
-        const { ratio, slack, countInstances } = this.options;
+        const { clock: time, ratio, slack, windowMs, countInstances } = this.options;
         this.removeOld();
-        const requests = this.parts.reduce((sum, part) => sum + part.requests, 0);
+        const wholeSince = time.getNow() - windowMs;
+        const requests = this.parts.reduce((sum, part) => sum + (part.startedAt >= wholeSince ? part.requests : 0), 0);
         const repeats = this.parts.reduce((sum, part) => sum + part.repeats, 0);
-        return ratio * requests + slack / countInstances() - repeats;
+        return usedPart * (ratio * requests + slack / countInstances()) - repeats;
     }
 
     private getPart(): Part {
@@ -65,7 +68,7 @@
         return created;
     }
 
-    /** A part stays until its last moment has left the window. */
+    /** A part's repeats count until its last moment has left the window; its requests only while its first is within. */
     private removeOld(): void {
         const now = this.options.clock.getNow();
         const { windowMs } = this.options;
--- a/src/standing/belief.ts
+++ b/src/standing/belief.ts
@@ -10,7 +10,7 @@
 /** The part of the upstreams that fail at any time, where nothing is known. */
 const failingPrior = 0.25;
 /** Time in which what was learned loses all but 1/e of its weight, in milliseconds; upstreams fail and mend within seconds. */
-const relaxationMs = 5_000;
+const relaxationMs = 2_000;
 /** The probability of each observation at a failing and at a sound upstream. */
 const likelihoods: Readonly<Record<Observation, { readonly failing: number; readonly sound: number; }>> = {
     good: { failing: 0.15, sound: 0.985 },
--- a/src/standing/chooseByStanding.ts
+++ b/src/standing/chooseByStanding.ts
@@ -10,7 +10,7 @@
 /** The age at which an outcome has lost most of its worth, in milliseconds. */
 const findingOutAgeMs = 600;
 /** What a slot's use costs against a whole failure: an upstream that is nearly full is slower. */
-const loadCost = 0.02;
+const loadCost = 0.01;
 /** What it costs to wait at an upstream until the target latency is used up, against a whole failure. */
 const waitCost = 0.5;
 /** How many requests may wait at an upstream, as a multiple of its slots. */
--- a/src/standing/standing.ts
+++ b/src/standing/standing.ts
@@ -136,7 +136,8 @@
     }
 
     private recordEnd(target: pool.Upstream, attempt: pool.AttemptRecord, outcome: pool.AttemptOutcome): void {
-        const isBad = outcome === "failed" || outcome === "timedOut" || outcome === "unreachable";
+        const isIdleRefusal = outcome === "shed" && this.table.getInFlight(target, this.options.context.clock.getNow()) < target.getSlots();
+        const isBad = isIdleRefusal || outcome === "failed" || outcome === "timedOut" || outcome === "unreachable";
         if (isBad && !this.overdueSeen.has(attempt)) {
             this.recordOutcome(target, "bad", attempt.startedAt);
         }
--- a/src/store/prefixFollower.ts
+++ b/src/store/prefixFollower.ts
@@ -19,6 +19,8 @@
     readonly prefix: string;
     /** Called after each change with all entries by key. */
     readonly onChange: (entries: ReadonlyMap<string, types.Entry>) => void;
+    /** Called when entries are missing after the store was away from here, and may return. */
+    readonly onMissing?: () => void;
 }
 
 /** Follows one prefix. */
@@ -36,6 +38,9 @@
     /** Until when a removal may be the work of an outage. */
     private graceUntil = -Infinity;
     private readAt = -Infinity;
+    private heardAt = -Infinity;
+    /** Since when no loss has been noticed. */
+    private steadySince = Infinity;
 
     constructor(private readonly options: CreatePrefixFollowerOptions) {}
 
@@ -56,6 +61,33 @@
         return this.hasRead;
     }
 
+    /** Returns for how long the prefix has been followed without a noticed loss, in milliseconds. */
+    getSteadyMs(): number {
+        return Math.max(0, this.options.context.clock.getNow() - this.steadySince);
+    }
+
+    /** Returns milliseconds since the store last told something. */
+    getSilenceMs(): number {
+        return this.options.context.clock.getNow() - this.heardAt;
+    }
+
+    /** Returns the entries that are missing and may return. */
+    listMissing(): readonly string[] {
+        return [...this.missing.keys()];
+    }
+
+    /**
+     * Removes missing entries that are known to be gone.
+     * @param keys - Their keys.
+     */
+    removeMissing(keys: readonly string[]): void {
+        const gone = keys.filter(key => this.missing.delete(key));
+        gone.forEach(key => this.entries.delete(key));
+        if (gone.length > 0) {
+            this.options.onChange(this.entries);
+        }
+    }
+
     /** Returns the entries as they are known. */
     listEntries(): readonly types.Entry[] {
         return [...this.entries.values()];
@@ -110,6 +142,9 @@
         if (this.wasAway) {
             this.graceUntil = now + returnGraceMs;
         }
+        if (this.wasAway || !this.hasRead) {
+            this.steadySince = now;
+        }
         this.wasAway = false;
         const lapsed = this.hasRead && now < this.graceUntil ? [...this.entries].filter(([key]) => !found.has(key)) : [];
         lapsed.forEach(([key, entry]) => this.addMissing(key, entry, found));
@@ -120,6 +155,8 @@
         logger.writeInfo("directory-read", `${listing.value.entries.length} entries of ${prefix} were read`, { prefix, entries: listing.value.entries.length, revision: listing.value.revision, lapsed: lapsed.length });
         this.openWatch(listing.value.revision);
         this.options.onChange(this.entries);
+        this.publishMissing();
+        this.heardAt = now;
     }
 
     /** An outage may have ended the lease of an upstream that is well; its entry then returns within the grace. */
@@ -153,7 +190,9 @@
                 }
             },
             onResumed: () => {
-                this.graceUntil = this.options.context.clock.getNow() + returnGraceMs;
+                const now = this.options.context.clock.getNow();
+                this.graceUntil = now + returnGraceMs;
+                this.steadySince = now;
             },
         });
         this.closeWatch = close;
@@ -172,6 +211,14 @@
             this.entries.delete(event.key);
         }
         this.options.onChange(this.entries);
+        this.publishMissing();
+        this.heardAt = this.options.context.clock.getNow();
+    }
+
+    private publishMissing(): void {
+        if (this.missing.size > 0) {
+            this.options.onMissing?.();
+        }
     }
 
     private removeOverdue(): void {
@@ -179,14 +226,8 @@
             this.stopLooking();
         }
         const now = this.options.context.clock.getNow();
-        const overdue = [...this.missing].filter(([, until]) => until <= now);
-        if (overdue.length === 0 || this.closeWatch === undefined) {
-            return;
+        if (this.closeWatch !== undefined) {
+            this.removeMissing([...this.missing].filter(([, until]) => until <= now).map(([key]) => key));
         }
-        overdue.forEach(([key]) => {
-            this.missing.delete(key);
-            this.entries.delete(key);
-        });
-        this.options.onChange(this.entries);
     }
 }
--- a/test/harness/platform.ts
+++ b/test/harness/platform.ts
@@ -89,6 +89,8 @@
             "store-calls-per-second": 100,
             detection: "fresh",
             "slot-sharing": "random",
+            "gossip-interval-ms": 1_000,
+            "suspect-after-ms": 4_500,
             "entries-ttl-ms": 200,
             "entries-grace-ms": 400,
             "drain-timeout-ms": 3_000,
--- a/test/integration.platform.test.ts
+++ b/test/integration.platform.test.ts
@@ -4,6 +4,7 @@
 import tap from "tap";
 import * as platform from "./harness/platform.js";
 import * as processes from "./harness/processes.js";
+import * as standIns from "./harness/standIns.js";
 
 const settleMs = 400;
 
@@ -124,7 +125,9 @@
         await site.workers[2]!.setBehaviour({ id: "somebody-else" });
         const answers = await Promise.all(Array.from({ length: 12 }, (_, index) => first.send("/order/1", { method: "POST", body: "x", requestId: `moved-${index}` })));
         t.strictSame(answers.map(answer => answer.status).filter(status => status !== 200), [], "421 is answered by another attempt");
-        t.equal((await site.workers[2]!.getState<WorkerState>()).counts.ran >= 0, true);
+        const { misdirected } = (await site.workers[2]!.getState<WorkerState>()).counts;
+        await Promise.all(Array.from({ length: 20 }, (_, index) => (index % 2 === 0 ? first : second).send("/look/1")));
+        t.equal((await site.workers[2]!.getState<WorkerState>()).counts.misdirected, misdirected, "and no instance asks there again");
         await site.workers[2]!.setBehaviour({ id: "w2" });
     });
 
@@ -208,3 +211,26 @@
         await processes.waitFor("and the workers", async () => (await second.send("/look/1")).status === 200, 5_000);
     });
 });
+
+void tap.test("an instance that alone was cut off from the store", async t => {
+    const site = await platform.startPlatform(3);
+    t.teardown(() => site.stop());
+    const proxy = await standIns.startFaultProxy(site.store.getAddress());
+    t.teardown(() => proxy.process.stop());
+    const first = await site.startInstance("north");
+    const second = await site.startInstance("south", { store: `kv://${proxy.getAddress()}` });
+    await Promise.all([first, second].map(platform.waitUntilReady));
+    await processes.waitFor("a link", () => second.listLogs("peer-linked").length > 0);
+    await proxy.setBehaviour({ blocksForward: true, blocksBackward: true });
+    await wait(settleMs);
+    await site.store.setBehaviour({ remove: ["servers/w1"] });
+    await processes.waitFor("the first instance knows", () => first.listLogs("upstream-gone").some(line => line.context.upstream === "w1"));
+    await wait(5_000);
+    t.equal(second.listLogs("upstream-gone").length, 0, "the second does not");
+    await proxy.setBehaviour({ blocksForward: false, blocksBackward: false });
+    const [checked] = await processes.waitFor("the second asks the first", () => {
+        const lines = second.listLogs("directory-missing-checked");
+        return lines.length > 0 ? lines : undefined;
+    });
+    t.equal(checked?.context.gone, 1, "and learns that the entry is gone, without the grace for an outage");
+});
--- /dev/null
+++ b/test/requests/retryBudget.test.ts
@@ -0,0 +1,43 @@
+/** Repeats of the whole fleet stay within its budget, whatever the window. */
+
+import fc from "fast-check";
+import tap from "tap";
+import * as clock from "../../src/kernel/clock.js";
+import * as retryBudget from "../../src/requests/retryBudget.js";
+
+const windowMs = 10_000;
+const ratio = 0.2;
+const slack = 56;
+
+void tap.test("no window holds more repeats than the budget", async t => {
+    const step = fc.record({ instance: fc.nat(3), pauseMs: fc.integer({ min: 0, max: 400 }), repeats: fc.nat(4) });
+    fc.assert(
+        fc.property(fc.array(step, { minLength: 20, maxLength: 400 }), steps => {
+            const time = clock.createVirtualClock();
+            const budgets = Array.from({ length: 4 }, () => new retryBudget.RetryBudget({ clock: time, ratio, slack, windowMs, countInstances: () => 4 }));
+            const requests: number[] = [];
+            const repeats: number[] = [];
+            for (const { instance, pauseMs, repeats: wanted } of steps) {
+                time.addTime(pauseMs);
+                budgets[instance]!.addRequest();
+                requests.push(time.getNow());
+                for (let index = 0; index < wanted; index += 1) {
+                    if (budgets[instance]!.acquireRetry()) {
+                        repeats.push(time.getNow());
+                    }
+                }
+            }
+            const countIn = (times: readonly number[], from: number) => times.filter(at => at >= from && at < from + windowMs).length;
+            return [...requests, ...repeats].every(from => countIn(repeats, from) <= ratio * countIn(requests, from) + slack);
+        }),
+        { seed: 11, numRuns: 500 },
+    );
+    t.pass("500 histories of four instances");
+});
+
+void tap.test("an instance that does not know how many share the slack takes none", async t => {
+    const budget = new retryBudget.RetryBudget({ clock: clock.createVirtualClock(), ratio, slack, windowMs, countInstances: () => Infinity });
+    t.notOk(budget.acquireRetry());
+    Array.from({ length: 20 }, () => budget.addRequest());
+    t.strictSame(Array.from({ length: 5 }, () => budget.acquireRetry()), [true, true, true, false, false]);
+});
--- a/test/standing/chooseByStanding.test.ts
+++ b/test/standing/chooseByStanding.test.ts
@@ -23,7 +23,21 @@
             table.recordRemote(created, "elsewhere", inFlight, now - 60_000 + 59_000);
             return created;
         });
-        const chosen = standing.chooseByStanding({ upstreams, table, now, failureDomain: "north", canRepeat: false, isFindingOutWorthwhile: true, answerBytes: 1_000, waitedMs: 0, targetMs: 800, usualMs: 200, excluded: new Set(), getFraction: () => 0.5, ...more });
+        const chosen = standing.chooseByStanding({
+            upstreams,
+            table,
+            now,
+            failureDomain: "north",
+            canRepeat: false,
+            isFindingOutWorthwhile: true,
+            answerBytes: 1_000,
+            waitedMs: 0,
+            targetMs: 800,
+            usualMs: 200,
+            excluded: new Set(),
+            getFraction: () => 0.5,
+            ...more,
+        });
         t.equal(chosen?.getId(), expected, name);
     };
     const proven: Described = { id: "proven", seen: [["good", 400], ["good", 100]] };
