--- a/scripts/emulate.ts
+++ b/scripts/emulate.ts
@@ -82,7 +82,7 @@
     const computeRate = (pattern: RegExp) => texts.flatMap(text => [...text.matchAll(pattern)]).reduce((sum, found) => sum + Number(found[1]), 0) / instances.length / seconds;
     const near = computeRate(/agatebend_peer_bytes_total\{direction="sent",domain="own"\} (\S+)/g);
     const far = computeRate(/agatebend_peer_bytes_total\{direction="sent",domain="other"\} (\S+)/g);
-    const processor = computeRate(/agatebend_process_cpu_seconds_total (\S+)/g);
+    const processor = computeRate(/^agatebend_process_cpu_seconds_total (\d\S*)/gm);
     process.stdout.write(`each instance: ${(near / 1_000).toFixed(2)} KB/s to peers of its domain, ${(far / 1_000).toFixed(2)} KB/s to others, ${(100 * processor).toFixed(1)} % of a core, its start included\n`);
 }
 
--- a/src/version.generated.ts
+++ b/src/version.generated.ts
@@ -1,2 +1,2 @@
 /** The version of package.json; made by npm run build. */
-export const version = "0.1.0";
+export const version = "0.2.0";
--- /dev/null
+++ b/test/platform/names.test.ts
@@ -0,0 +1,12 @@
+/** Nothing outside platform/ knows the names of the platform's wire. */
+
+import * as fs from "node:fs";
+import tap from "tap";
+
+const names = /response-seal|expect-instance|not-executed["']?\s*:|kv-(txn|range|watch|key|keep|lease)|targetLatencyS|timeoutS|op\/config|servers\/|trafficSplit|AGATEBEND_CONFIG_|wire\.json/i;
+
+void tap.test("the platform's names", async t => {
+    const files = fs.readdirSync("src", { recursive: true, encoding: "utf8" }).filter(name => name.endsWith(".ts"));
+    const found = files.flatMap(name => fs.readFileSync(`src/${name}`, "utf8").split("\n").flatMap((line, index) => names.test(line) ? [`src/${name}:${index + 1}: ${line.trim()}`] : []));
+    t.strictSame(found, []);
+});
