--- a/scripts/generateDocs.ts
+++ b/scripts/generateDocs.ts
@@ -34,12 +34,33 @@
 
 /** Lists the log events and metrics that the code names. */
 function createReferencePage(): string {
-    const sources = ["src", "platform"].flatMap(root => fs.readdirSync(root, { recursive: true, encoding: "utf8" }).filter(name => name.endsWith(".ts")).sort().map(name => ({ name: `${root}/${name}`, text: fs.readFileSync(`${root}/${name}`, "utf8") })));
+    const sources = ["src", "platform"].flatMap(root =>
+        fs.readdirSync(root, { recursive: true, encoding: "utf8" }).filter(name => name.endsWith(".ts")).sort().map(name => ({ name: `${root}/${name}`, text: fs.readFileSync(`${root}/${name}`, "utf8") }))
+    );
     const eventPattern = /write(Debug|Info|Warning|Error)\(\s*(?:error === undefined \? )?("[^"]+"(?: : "[^"]+")?|`[^`]+`|event),\s*(`[^`]*`|"[^"]*"|[^,;]*)/g;
-    const events = sources.flatMap(({ name, text }) => [...text.matchAll(eventPattern)].map(([, level, event, message]) => `| ${event!.replaceAll(/["`]/g, "").replace("${change}", "ejected, trial, recovering, routable")} | ${level!.toLowerCase()} | ${name} | ${message!.replaceAll(/^["`]|["`]$/g, "").replaceAll("|", "/")} |`));
+    const events = sources.flatMap(({ name, text }) =>
+        [...text.matchAll(eventPattern)].map(([, level, event, message]) =>
+            `| ${event!.replaceAll(/["`]/g, "").replace("${change}", "ejected, trial, recovering, routable")} | ${level!.toLowerCase()} | ${name} | ${message!.replaceAll(/^["`]|["`]$/g, "").replaceAll("|", "/")} |`
+        )
+    );
     const metricPattern = /name: "(agatebend_[a-z_]+)",\s*help: "([^"]+)"(?:,\s*labelNames: \[([^\]]*)\])?/g;
     const metrics = sources.flatMap(({ text }) => [...text.matchAll(metricPattern)].map(([, metric, help, labels]) => `| \`${metric}\` | ${labels?.replaceAll("\"", "") ?? ""} | ${help} |`)).sort();
-    return ["# Log events and metrics", "", notice, "", "Every line carries `instance` and `failureDomain`; `event` is stable. An event in the list as `event` is one of `upstream-trusted`, `upstream-doubted`.", "", "| event | level | written by | message |", "| --- | --- | --- | --- |", ...events.sort(), "", "| metric | labels | meaning |", "| --- | --- | --- |", ...metrics, ""].join("\n");
+    return [
+        "# Log events and metrics",
+        "",
+        notice,
+        "",
+        "Every line carries `instance` and `failureDomain`; `event` is stable. An event in the list as `event` is one of `upstream-trusted`, `upstream-doubted`.",
+        "",
+        "| event | level | written by | message |",
+        "| --- | --- | --- | --- |",
+        ...events.sort(),
+        "",
+        "| metric | labels | meaning |",
+        "| --- | --- | --- |",
+        ...metrics,
+        "",
+    ].join("\n");
 }
 
 const pages: Readonly<Record<string, string>> = {
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -7,6 +7,7 @@
 import * as errors from "../kernel/errors.js";
 import * as services from "../kernel/services.js";
 import * as dialer from "./dialer.js";
+import * as digestPeer from "./digestPeer.js";
 import type * as link from "./link.js";
 import * as members from "./members.js";
 import * as pendingRequests from "./pendingRequests.js";
@@ -16,8 +17,6 @@
 /** Rounds of anti-entropy between two direct heartbeats to every link. */
 const roundsPerHeartbeat = 2;
 
-/** Of so many rounds of anti-entropy, one may go to another failure domain. */
-const roundsPerFarDigest = 5;
 /** The topic of the registers that describe members. */
 const memberTopic = "member";
 
@@ -231,7 +230,11 @@
         if (this.round % roundsPerHeartbeat === 0) {
             this.sendToAll({ type: "heartbeat", incarnation: this.shared.identity.incarnation, heartbeat });
         }
-        const chosen = this.chooseDigestPeer();
+        const chosen = digestPeer.chooseDigestPeer({
+            round: this.round,
+            peers: this.dialer.listPeers().map(peerId => ({ peerId, isNear: this.dialer.getLink(peerId)?.getPeer()?.failureDomain === this.shared.identity.failureDomain })),
+            randomness: this.shared.randomness,
+        });
         if (chosen !== undefined) {
             this.dialer.getLink(chosen)?.sendMessage({ type: "digest", entries: [...this.table.getDigest()], isReply: false });
         }
@@ -240,16 +243,6 @@
         }
     }
 
-    /** Chooses a peer of the own failure domain in most rounds, since bytes between domains are dear. */
-    private chooseDigestPeer(): string | undefined {
-        const { identity, randomness } = this.shared;
-        const peers = this.dialer.listPeers();
-        const near = peers.filter(peerId => this.dialer.getLink(peerId)?.getPeer()?.failureDomain === identity.failureDomain);
-        const isFarTurn = near.length === 0 || this.round % roundsPerFarDigest === 0;
-        const choice = isFarTurn ? peers : near;
-        return choice[Math.floor(randomness.getFraction() * choice.length)];
-    }
-
     private sendToAll(message: wire.Message): void {
         this.dialer.listPeers().forEach(peerId => this.dialer.getLink(peerId)?.sendMessage(message));
     }
--- a/test/callers/entries.test.ts
+++ b/test/callers/entries.test.ts
@@ -22,4 +22,8 @@
     const many = Array.from({ length: 9 }, (_, index) => createMember(`i${index}`, "north"));
     const firsts = new Set(Array.from({ length: 200 }, (_, index) => entries.listEntries({ members: many, workspace: `w${index}`, failureDomain: "north" })[0]?.instanceId));
     t.equal(firsts.size, 9, "workspaces spread over all instances");
+    const doAddresses = (name: string, members: readonly peers.Member[], failureDomain: string, expected: readonly string[]) =>
+        t.strictSame([...entries.listAddresses(entries.listEntries({ members, workspace: "w", failureDomain }), failureDomain)].sort(), expected, name);
+    doAddresses("the caller's domain alone, where it has two", [north, createMember("c", "north"), south], "north", ["a:80", "c:80"]);
+    doAddresses("all where it has one", [north, south], "north", ["a:80", "b:80"]);
 });
