Fetch a held answer again when its body stops coming

Change: a pause of 1 s in a held body counts as a break while a repeat is left. Ruled out: a shorter patience for answers that have not begun, since one in a hundred healthy requests takes three to five times as long as usual. Test: an upstream that stops in the middle of its answer; it failed (504) while the budget had no repeat to give. Besides: the store's stand-in ends waiting watches when it begins to fail; before, a removal could still be told over one of them, and the test of entries that return failed once for that.

--- a/src/requests/relayBody.ts
+++ b/src/requests/relayBody.ts
@@ -8,6 +8,9 @@
 /** A pause in a body that can be continued elsewhere, after which it is, in milliseconds. */
 const resumableIdleMs = 3_000;
 
+/** A pause in a body that is held back and may be fetched again, after which it is, in milliseconds; upstreams send what they have made at once. */
+const heldIdleMs = 1_000;
+
 /** How a body ended. */
 export type RelayResult =
     | { readonly kind: "whole"; readonly bytes: number; }
@@ -30,6 +33,8 @@
     readonly resumable: rangeResume.ResumableBody | undefined;
     /** Opens the rest of a broken body at another upstream; undefined where that fails. */
     readonly openRest: (resumable: rangeResume.ResumableBody, offset: number) => Promise<http.IncomingMessage | undefined>;
+    /** Returns whether a body that has not begun to be passed on may be fetched again. */
+    readonly canRepeat: () => boolean;
     /** Returns the milliseconds until the whole answer must have come. */
     readonly getRemainingMs: () => number;
 }
@@ -122,7 +127,8 @@
         };
         const startIdle = () => {
             cancelIdle();
-            const limitMs = writer.isHolding() ? Math.min(idleMs, options.getRemainingMs()) : idleMs;
+            const pauseMs = writer.isHolding() && options.canRepeat() ? Math.min(heldIdleMs, idleMs) : idleMs;
+            const limitMs = writer.isHolding() ? Math.min(pauseMs, options.getRemainingMs()) : idleMs;
             cancelIdle = loop.scheduleOnce(Math.max(0, limitMs), () => finish("broken"));
         };
         // The pause of a slow reader is not the upstream's, so the idle time stands still meanwhile.
--- a/test/integration.platform.test.ts
+++ b/test/integration.platform.test.ts
@@ -169,6 +169,23 @@
     });
 });
 
+void tap.test("a body that stops coming", async t => {
+    const site = await platform.startPlatform(2);
+    t.teardown(() => site.stop());
+    const instance = await site.startInstance("north", { "retry-window-s": 1 });
+    await platform.waitUntilReady(instance);
+    // The slack of the budget is there after the first window.
+    await wait(1_100);
+    await site.workers[0]!.setBehaviour({ spoiled: "stall", spoilPart: 1 });
+    const answers = await Promise.all(Array.from({ length: 8 }, async () => {
+        const startedAt = performance.now();
+        const answer = await instance.send("/look/1", { deadlineMs: 3_500 });
+        return { status: answer.status, isLate: performance.now() - startedAt > 2_500 };
+    }));
+    t.strictSame(answers.filter(({ status, isLate }) => status !== 200 || isLate), [], "it is fetched from another worker before the deadline");
+    t.ok((await site.workers[0]!.getState<WorkerState>()).counts.ran > 0);
+});
+
 void tap.test("the store's troubles", async t => {
     const site = await platform.startPlatform(3);
     t.teardown(() => site.stop());
--- a/test/standins/directoryStore.ts
+++ b/test/standins/directoryStore.ts
@@ -186,10 +186,13 @@
         getState: () => ({ revision, calls, keys: [...items.keys()], behaviour }),
         setBehaviour: ({ put, remove, dropHistory, cutWatches, ...more }) => {
             Object.assign(behaviour, more);
-            if (behaviour.failure === "silent") {
-                // The connections that wait stay silent for good, as over a cut link.
+            if (behaviour.failure !== "none") {
                 waiting.clear();
             }
+            if (behaviour.failure !== "none" && behaviour.failure !== "silent") {
+                // Where it is silent, the connections that wait stay so for good, as over a cut link.
+                server.closeAllConnections();
+            }
             Object.entries(put ?? {}).forEach(([key, value]) => setValue(key, value));
             (remove as readonly string[] | undefined)?.forEach(key => setValue(key, undefined));
             if (dropHistory === true) {
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -16,7 +16,7 @@
     failure: "error" | "reset" | "hang" | "mute";
     /** What is wrong with the answers, for a part of them. */
     spoilPart: number;
-    spoiled: "none" | "cut" | "extra" | "extraLate" | "unframed" | "unframedReset" | "garbage" | "wrongId" | "unsealed";
+    spoiled: "none" | "cut" | "extra" | "extraLate" | "unframed" | "unframedReset" | "stall" | "garbage" | "wrongId" | "unsealed";
     bodyBytes: number;
 }
 
@@ -47,6 +47,7 @@
                 socket.write(`${fields(requestId)}Connection: close\r\n\r\n${body.slice(0, 50)}`);
                 setTimeout(() => socket.resetAndDestroy(), 20);
             },
+            stall: () => socket.write(whole.slice(0, -20)),
             garbage: () => socket.end("\u0001\u0002 no answer at all\r\n\r\n"),
             wrongId: () => socket.write(foreign),
             unsealed: () => socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nContent-Length: ${body.length}\r\n\r\n${body}`),
