Let a started instance's part of the repeats grow over its first window

Change: the part grows linearly, so that a killed process and its successor together stay within twice the part in the worst window, against once before; the tenth kept in reserve and the requests' part (0.2 of some hundred) are larger than that. Ruled out: a missing second upstream (the trails show others with free slots).

--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -23,7 +23,7 @@
     readonly pool: pool.Pool;
     readonly marks: pool.LeavingMarks;
     readonly agent: http.Agent;
-    /** Returns how many instances the fleet has; Infinity while that is not known. */
+    /** Returns how many instances the fleet has. */
     readonly countInstances: () => number;
     /** Sends an attempt; another function stands in for the network in tests. */
     readonly sendAttempt?: typeof attempt.sendAttempt;
@@ -40,8 +40,11 @@
 /** Hands out what attempts share. */
 export class ExecutorContext {
     private readonly budgets = new Map<string, retryBudget.RetryBudget>();
+    private readonly startedAt: number;
 
-    constructor(private readonly options: CreateExecutorContextOptions) {}
+    constructor(private readonly options: CreateExecutorContextOptions) {
+        this.startedAt = options.context.clock.getNow();
+    }
 
     /**
      * Sends an attempt and notes in the request's trail what became of it.
@@ -82,7 +85,7 @@
     getBudget(service: string): retryBudget.RetryBudget {
         const { clock, settings } = this.context;
         const known = this.budgets.get(service)
-            ?? new retryBudget.RetryBudget({ clock, ratio: settings.retryRatio, slack: settings.retrySlack, windowMs: settings.retryWindowS * 1_000, countInstances: this.options.countInstances });
+            ?? new retryBudget.RetryBudget({ clock, ratio: settings.retryRatio, slack: settings.retrySlack, windowMs: settings.retryWindowS * 1_000, countInstances: this.options.countInstances, startedAt: this.startedAt });
         this.budgets.set(service, known);
         return known;
     }
--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -28,7 +28,6 @@
     dependsOn: ["admission", "peers", "pool", "detection"],
     create: shared => {
         const mesh = shared.services.getService(peers.meshKey);
-        const startedAt = shared.clock.getNow();
         const agent = new upstreamAgent.UpstreamAgent({ keepAlive: true, maxFreeSockets: idleConnections, timeout: idleConnectionMs, scheduling: "lifo" });
         shared.services.setService(
             executorKey,
@@ -38,7 +37,7 @@
                 pool: shared.services.getService(pool.poolKey),
                 marks: shared.services.getService(pool.leavingMarksKey),
                 agent,
-                countInstances: () => shared.clock.getNow() - startedAt < shared.settings.retryWindowS * 1_000 ? Infinity : mesh.listMembers().length,
+                countInstances: () => mesh.listMembers().length,
             }),
         );
         return { stop: async () => agent.destroy() };
--- a/src/requests/relayBody.ts
+++ b/src/requests/relayBody.ts
@@ -34,7 +34,7 @@
     /** Opens the rest of a broken body at another upstream; undefined where that fails. */
     readonly openRest: (resumable: rangeResume.ResumableBody, offset: number) => Promise<http.IncomingMessage | undefined>;
     /** Returns whether a body that has not begun to be passed on may be fetched again. */
-    readonly canRepeat: () => boolean;
+    readonly isRepeatLeft: () => boolean;
     /** Returns the milliseconds until the whole answer must have come. */
     readonly getRemainingMs: () => number;
 }
@@ -127,7 +127,7 @@
         };
         const startIdle = () => {
             cancelIdle();
-            const pauseMs = writer.isHolding() && options.canRepeat() ? Math.min(heldIdleMs, idleMs) : idleMs;
+            const pauseMs = writer.isHolding() && options.isRepeatLeft() ? Math.min(heldIdleMs, idleMs) : idleMs;
             const limitMs = writer.isHolding() ? Math.min(pauseMs, options.getRemainingMs()) : idleMs;
             cancelIdle = loop.scheduleOnce(Math.max(0, limitMs), () => finish("broken"));
         };
--- a/src/requests/repeatable.ts
+++ b/src/requests/repeatable.ts
@@ -206,7 +206,7 @@
             ]);
         },
         heldBytes: resumable === undefined ? heldBytes : 0,
-        canRepeat: () => progress.sent < request.route.maximumAttempts && shared.getBudget(request.route.service).getRemaining() >= 1,
+        isRepeatLeft: () => progress.sent < request.route.maximumAttempts && shared.getBudget(request.route.service).getRemaining() >= 1,
         getRemainingMs: () => request.deadlineAt - shared.context.clock.getNow(),
         resumable,
         openRest: async (resumable, offset) => {
--- a/src/requests/retryBudget.ts
+++ b/src/requests/retryBudget.ts
@@ -16,8 +16,10 @@
     readonly slack: number;
     /** In milliseconds. */
     readonly windowMs: number;
-    /** Returns how many instances share the slack; Infinity while that is not known. */
+    /** Returns how many instances share the slack. */
     readonly countInstances: () => number;
+    /** When the instance started, in monotonic milliseconds; its part of the slack grows over the first window, since a process that it replaces may have used that part just before. */
+    readonly startedAt: number;
 }
 
 interface Part {
@@ -49,12 +51,13 @@
 
     /** Returns the repeats that are left. */
     getRemaining(): number {
-        const { clock: time, ratio, slack, windowMs, countInstances } = this.options;
+        const { clock: time, ratio, slack, windowMs, countInstances, startedAt } = this.options;
         this.removeOld();
         const wholeSince = time.getNow() - windowMs;
         const requests = this.parts.reduce((sum, part) => sum + (part.startedAt >= wholeSince ? part.requests : 0), 0);
         const repeats = this.parts.reduce((sum, part) => sum + part.repeats, 0);
-        return usedPart * (ratio * requests + slack / countInstances()) - repeats;
+        const grown = Math.min(1, (time.getNow() - startedAt) / windowMs);
+        return usedPart * (ratio * requests + (slack / countInstances()) * grown) - repeats;
     }
 
     private getPart(): Part {
