--- a/src/standing/standing.ts
+++ b/src/standing/standing.ts
@@ -21,6 +21,8 @@
 const survivalMs = 40;
 /** Milliseconds between two looks for attempts that are overdue. */
 const overdueLookMs = 100;
+/** An upstream that is likelier than this to fail is doubted; the log says when that turns. */
+const doubtedFailing = 0.5;
 /** The weight of a new answer in its route's usual size. */
 const sizeWeight = 0.1;
 /** The part of its target latency that a route's requests are taken to need before one has been answered. */
@@ -248,11 +250,10 @@
     }
 
     private writeTurn(target: pool.Upstream, before: number, after: number, observation: belief.Observation, source: string): void {
-        const half = 0.5;
-        if ((before < half) === (after < half)) {
+        if ((before < doubtedFailing) === (after < doubtedFailing)) {
             return;
         }
-        const event = after < half ? "upstream-trusted" : "upstream-doubted";
+        const event = after < doubtedFailing ? "upstream-trusted" : "upstream-doubted";
         this.options.context.logger.writeInfo(event, `${target.service}/${target.getId()} fails with probability ${after.toFixed(3)}`, {
             service: target.service,
             upstream: target.getId(),
