--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -9,6 +9,7 @@
 import * as dialer from "./dialer.js";
 import * as digestPeer from "./digestPeer.js";
 import type * as link from "./link.js";
+import * as memberMetrics from "./memberMetrics.js";
 import * as members from "./members.js";
 import * as pendingRequests from "./pendingRequests.js";
 import * as registers from "./registers.js";
@@ -55,16 +56,7 @@
                 onClose: closed => this.receiveClose(closed),
             },
         });
-        const gauge: promClient.Gauge<"state"> = new promClient.Gauge({
-            name: "agatebend_members",
-            help: "Known instances by state, this one included.",
-            labelNames: ["state"],
-            registers: [metrics],
-            collect: () => {
-                gauge.reset();
-                this.listMembers().forEach(known => gauge.inc({ state: known.state }));
-            },
-        });
+        memberMetrics.createMemberGauge(metrics, () => this.listMembers());
     }
 
     /** Opens the peer port and begins to gossip. */
