Read what has arrived before a late timer decides

When a process resumes, Node runs all due timers before it reads a socket. An attempt whose refusal lay ready was therefore overtaken by the deadline, and the order was told as `unknown`. The old test meets this only when the signal falls into the millisecond of an attempt.

Ruled out: a run of the order (the count was checked), the grace of the kept order (30 s), the connect limit (sent already).

Change: the loop runs a task that is more than 50 ms late only after the next look at the sockets. It holds for every limit: attempts, bodies, peers' questions, suspicion. A process that stood still for over a second says so in a line. `readAgain`, which nothing called, is removed. The tests' two copies of `listLogs` are one.

Seen failing first: loop.test.ts and "stands still while a refusal is on its way" with the threshold out of reach (`unknown` instead of `not-executed`).

--- a/src/configuration/configurationService.ts
+++ b/src/configuration/configurationService.ts
@@ -81,13 +81,6 @@
         this.follower.stop();
     }
 
-    /** Reads the configuration again, as after a time in which the process stood still. */
-    readAgain(): void {
-        if (this.isExternal()) {
-            this.follower.readAgain();
-        }
-    }
-
     /** Returns the configuration in force. */
     getCurrent(): compiled.CompiledConfiguration | undefined {
         return this.state.getCurrent();
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -12,6 +12,11 @@
 import * as randomness from "./randomness.js";
 import * as services from "./services.js";
 
+/** Milliseconds between two looks at whether the process stood still. */
+const stillLookMs = 250;
+/** A gap of this many milliseconds beyond a look is told in a log line, since it explains what follows. */
+const stillMs = 1_000;
+
 /** Where the process is in its life. */
 export type LifecycleState = "starting" | "running" | "draining" | "stopped";
 
@@ -56,6 +61,7 @@
             await instance.start?.();
         }
         this.state = "running";
+        this.watchStandstill();
         log.writeInfo("instance-started", `instance ${identity.instanceId} runs`, { version: process.version });
     }
 
@@ -96,6 +102,20 @@
         };
     }
 
+    /** A process that was suspended or starved tells so afterwards. */
+    private watchStandstill(): void {
+        const { loop: timers, clock: time, logger: log } = this.context;
+        let lookedAt = time.getNow();
+        timers.scheduleRepeatedly(stillLookMs, () => {
+            const gapMs = time.getNow() - lookedAt;
+            lookedAt = time.getNow();
+            if (gapMs - stillLookMs < stillMs) {
+                return;
+            }
+            log.writeWarning("process-stood-still", `the process stood still for ${Math.round(gapMs)} ms`, { gapMs: Math.round(gapMs) });
+        });
+    }
+
     private async drainAndStop(): Promise<void> {
         this.state = "draining";
         this.context.logger.writeInfo("instance-draining", "the graceful shutdown began");
@@ -145,7 +165,7 @@
         clock: time,
         randomness: random,
         logger: log,
-        loop: new loop.Loop(() => log),
+        loop: new loop.Loop({ clock: time, getLogger: () => log }),
         metrics,
         services: new services.Services(),
         events: eventLog,
--- a/src/kernel/loop.ts
+++ b/src/kernel/loop.ts
@@ -1,17 +1,31 @@
 /** Timers of the process's one event loop, all cancelled together at a stop. */
 
-import type * as logger from "./logger.js";
+import type * as clock from "./clock.js";
 import * as errors from "./errors.js";
+import type * as logger from "./logger.js";
+
+/** A timer that fires this much late was held up: the process stood still or was short of processor time. In milliseconds; well over a busy turn of the loop. */
+const heldUpMs = 50;
 
 /** Cancels a timer. */
 export type Cancel = () => void;
 
-/** Runs tasks later on the one thread. */
+/** Options of a loop. */
+export interface CreateLoopOptions {
+    readonly clock: clock.Clock;
+    readonly getLogger: () => logger.Logger;
+}
+
+/**
+ * Runs tasks later on the one thread.
+ * @remarks A task that was held up runs only after what has arrived meanwhile is read, so that a time limit does not
+ * overtake the answer that lies ready.
+ */
 export class Loop {
     private readonly cancels = new Set<Cancel>();
     private isStopped = false;
 
-    constructor(private readonly getLogger: () => logger.Logger) {}
+    constructor(private readonly options: CreateLoopOptions) {}
 
     /**
      * Runs a task once.
@@ -19,12 +33,22 @@
      * @param task - The task.
      */
     scheduleOnce(delayMs: number, task: () => void): Cancel {
-        const timer = setTimeout(() => {
+        let immediate: NodeJS.Immediate | undefined;
+        const run = () => {
             this.cancels.delete(cancel);
             this.runTask(task);
+        };
+        const dueAt = this.options.clock.getNow() + delayMs;
+        const timer = setTimeout(() => {
+            if (this.isHeldUp(dueAt)) {
+                immediate = setImmediate(run);
+                return;
+            }
+            run();
         }, delayMs);
         const cancel = () => {
             clearTimeout(timer);
+            clearImmediate(immediate);
             this.cancels.delete(cancel);
         };
         return this.addCancel(cancel);
@@ -36,9 +60,20 @@
      * @param task - The task.
      */
     scheduleRepeatedly(intervalMs: number, task: () => void): Cancel {
-        const timer = setInterval(() => this.runTask(task), intervalMs);
+        let immediate: NodeJS.Immediate | undefined;
+        let dueAt = this.options.clock.getNow() + intervalMs;
+        const timer = setInterval(() => {
+            const isHeldUp = this.isHeldUp(dueAt);
+            dueAt = this.options.clock.getNow() + intervalMs;
+            if (isHeldUp) {
+                immediate = setImmediate(() => this.runTask(task));
+                return;
+            }
+            this.runTask(task);
+        }, intervalMs);
         const cancel = () => {
             clearInterval(timer);
+            clearImmediate(immediate);
             this.cancels.delete(cancel);
         };
         return this.addCancel(cancel);
@@ -50,6 +85,10 @@
         [...this.cancels].forEach(cancel => cancel());
     }
 
+    private isHeldUp(dueAt: number): boolean {
+        return this.options.clock.getNow() - dueAt > heldUpMs;
+    }
+
     private addCancel(cancel: Cancel): Cancel {
         this.cancels.add(cancel);
         if (this.isStopped) {
@@ -63,7 +102,7 @@
             task();
         }
         catch (thrown) {
-            this.getLogger().writeError("task-failed", "a scheduled task threw", { error: errors.getThrownMessage(thrown) });
+            this.options.getLogger().writeError("task-failed", "a scheduled task threw", { error: errors.getThrownMessage(thrown) });
         }
     }
 }
--- a/src/store/prefixFollower.ts
+++ b/src/store/prefixFollower.ts
@@ -104,13 +104,6 @@
         }
     }
 
-    /** Gives up the watch and reads everything again, as after a time in which the process stood still. */
-    readAgain(): void {
-        this.closeWatch?.();
-        this.closeWatch = undefined;
-        this.scheduleRead(0);
-    }
-
     /** Returns the follower's state for the dump. */
     getDump(): unknown {
         return { prefix: this.options.prefix, entries: this.entries.size, isWatching: this.closeWatch !== undefined, missing: [...this.missing.keys()], readAgeMs: Math.round(this.options.context.clock.getNow() - this.readAt) };
--- a/test/harness/platform.ts
+++ b/test/harness/platform.ts
@@ -50,8 +50,8 @@
     }
 
     /** Returns the log lines of an event. */
-    listLogs(event: string): readonly { readonly context: Record<string, unknown>; readonly message: string; }[] {
-        return this.process.lines.filter(line => line.includes(`"${event}"`)).map(line => JSON.parse(line) as { readonly context: Record<string, unknown>; readonly message: string; }).filter(line => line.context.event === event);
+    listLogs(event: string): readonly processes.LogLine[] {
+        return this.process.listLogs(event);
     }
 }
 
--- a/test/harness/processes.ts
+++ b/test/harness/processes.ts
@@ -54,6 +54,12 @@
     throw new Error(`not within ${waitMs} ms: ${what}`);
 }
 
+/** A line of an instance's log. */
+export interface LogLine {
+    readonly context: Record<string, unknown>;
+    readonly message: string;
+}
+
 /** A process under test. */
 export class TestProcess {
     readonly lines: string[] = [];
@@ -75,6 +81,11 @@
         });
     }
 
+    /** Returns the log lines of an event. */
+    listLogs(event: string): readonly LogLine[] {
+        return this.lines.filter(line => line.includes(`"${event}"`)).map(line => JSON.parse(line) as LogLine).filter(line => line.context.event === event);
+    }
+
     /** Returns the process's identifier. */
     getId(): number | undefined {
         return this.child.pid;
--- a/test/integration.orders.test.ts
+++ b/test/integration.orders.test.ts
@@ -134,6 +134,23 @@
         await processes.waitFor("the owner is heard again", async () => (await other.sendCall("Status", {})).json.instances && JSON.stringify((await other.sendCall("Status", {})).json).match(/"running"/g)?.length === 3);
     });
 
+    await t.test("the owner stands still while a refusal is on its way", async t => {
+        const key = await createIssuedKey(owner);
+        await setAll({ shedsAll: true });
+        upstreams.forEach(started => started.process.sendSignal("SIGSTOP"));
+        const pending = sendOrder(owner, key, 1_000);
+        await new Promise(resolve => setTimeout(resolve, 200));
+        owner.process.sendSignal("SIGSTOP");
+        upstreams.forEach(started => started.process.sendSignal("SIGCONT"));
+        await new Promise(resolve => setTimeout(resolve, 1_500));
+        owner.process.sendSignal("SIGCONT");
+        t.equal(await pending, "not-executed", "the refusal lay ready before the deadline was looked at");
+        await setAll({ shedsAll: false });
+        t.equal(await countExecutions(key), 0);
+        t.ok(owner.listLogs("process-stood-still").length >= 1);
+        await processes.waitFor("the owner is heard again", async () => JSON.stringify((await other.sendCall("Status", {})).json).match(/"running"/g)?.length === 3);
+    });
+
     await t.test("the caller reaches the owner, and the other instances do not", async t => {
         const proxy = await standIns.startFaultProxy(owner.ports.caller);
         const aside = await fleet.startInstance({ id: "i4", failureDomain: "north", storeUrl: `http://${store.getAddress()}`, seeds: [owner.ports.peer], flags: { ...flags, "caller-advertise": proxy.getAddress() } });
--- /dev/null
+++ b/test/kernel/loop.test.ts
@@ -0,0 +1,72 @@
+/** A task that was held up runs after what has arrived meanwhile. */
+
+import * as net from "node:net";
+import tap from "tap";
+import * as clock from "../../src/kernel/clock.js";
+import * as loop from "../../src/kernel/loop.js";
+
+const standstillMs = 200;
+
+async function openPair(): Promise<{ readonly near: net.Socket; readonly far: net.Socket; readonly close: () => void; }> {
+    const server = net.createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const accepted = new Promise<net.Socket>(resolve => server.once("connection", resolve));
+    const near = net.connect((server.address() as net.AddressInfo).port, "127.0.0.1");
+    const far = await accepted;
+    return {
+        near,
+        far,
+        close: () => {
+            near.destroy();
+            far.destroy();
+            server.close();
+        },
+    };
+}
+
+function runStandstill(durationMs: number): void {
+    const until = performance.now() + durationMs;
+    while (performance.now() < until) {
+        // The thread is held, as by a suspended process.
+    }
+}
+
+void tap.test("timers of the loop", async t => {
+    const timers = new loop.Loop({ clock: clock.createSystemClock(), getLogger: () => undefined as never });
+    t.teardown(() => timers.stop());
+
+    for (const kind of ["once", "again and again"]) {
+        await t.test(`a task that runs ${kind} does not overtake bytes that lie ready`, async t => {
+            const pair = await openPair();
+            const seen: string[] = [];
+            pair.near.on("data", () => seen.push("bytes"));
+            const ran = new Promise<void>(resolve => {
+                const task = () => {
+                    seen.push("task");
+                    resolve();
+                };
+                const cancel = kind === "once" ? timers.scheduleOnce(20, task) : timers.scheduleRepeatedly(20, task);
+                t.teardown(() => cancel());
+            });
+            await new Promise<void>(resolve => pair.far.write("answer", () => resolve()));
+            runStandstill(standstillMs);
+            await ran;
+            t.strictSame(seen.slice(0, 2), ["bytes", "task"]);
+            pair.close();
+        });
+    }
+
+    await t.test("a held up task can be cancelled by what arrived", async t => {
+        const pair = await openPair();
+        let hasRun = false;
+        const cancel = timers.scheduleOnce(20, () => {
+            hasRun = true;
+        });
+        pair.near.once("data", () => cancel());
+        await new Promise<void>(resolve => pair.far.write("answer", () => resolve()));
+        runStandstill(standstillMs);
+        await new Promise(resolve => setTimeout(resolve, 50));
+        t.notOk(hasRun);
+        pair.close();
+    });
+});
--- a/test/orders/atMostOnce.property.test.ts
+++ b/test/orders/atMostOnce.property.test.ts
@@ -43,7 +43,7 @@
     await fc.assert(
         fc.asyncProperty(fc.scheduler(), fc.array(fc.constantFrom(...attemptKinds), { minLength: 1, maxLength: 8 }), fc.array(arrival, { minLength: 1, maxLength: 8 }), fc.nat(4), async (scheduler, script, arrivals, slotsUntilDeadline) => {
             const time = clock.createVirtualClock();
-            const timers = new loop.Loop(() => undefined as never);
+            const timers = new loop.Loop({ clock: time, getLogger: () => undefined as never });
             const held = new ledger.Ledger({ maximumKeys: 10, maximumBytes: 100, maximumAnswerBytes: 100 });
             const runs = new Map<string, number>();
             const told = new Map<string, errors.Outcome[]>();
