Ask the store for a prefix by the name that it goes by on the wire

Cause: deploy/wire.toml renamed every `prefix` to `pathPrefix`, the query of the store's reads included, while the client went on to ask for `prefix`. Decisions were right all the same, since each follower looks at its own keys; bytes, calls for further pages and log lines were not.

Ruled out: the shared watch, whose common prefix is empty anyway.

The stand-in takes the names of its parameters from deploy/wire.toml, as the platform does, and answers 400 to one that it does not know.

Seen failing first: with the rename and the strict stand-in, no test instance became ready (test/integration.platform.test.ts). After: passes.

--- a/test/harness/platform.ts
+++ b/test/harness/platform.ts
@@ -14,7 +14,7 @@
 /** A route of the operator's configuration. */
 export interface TestRoute {
     readonly name: string;
-    readonly pathPrefix: string;
+    readonly prefix: string;
     readonly kind: "safe" | "unsafe" | "download";
     readonly service?: string;
     readonly split?: readonly { readonly service: string; readonly weight: number; }[];
@@ -34,9 +34,9 @@
 
 /** The routes of most tests. */
 export const usualRoutes: readonly TestRoute[] = [
-    { name: "look", pathPrefix: "/look/", kind: "safe", service: "desk" },
-    { name: "order", pathPrefix: "/order/", kind: "unsafe", service: "desk" },
-    { name: "file", pathPrefix: "/file/", kind: "download", service: "vault" },
+    { name: "look", prefix: "/look/", kind: "safe", service: "desk" },
+    { name: "order", prefix: "/order/", kind: "unsafe", service: "desk" },
+    { name: "file", prefix: "/file/", kind: "download", service: "vault" },
 ];
 
 /** An instance on the platform. */
--- a/test/integration.platform.test.ts
+++ b/test/integration.platform.test.ts
@@ -152,8 +152,8 @@
     await t.test("a new version, splits and time-outs", async t => {
         const routes: readonly platform.TestRoute[] = [
             ...platform.usualRoutes.filter(route => route.name !== "look"),
-            { name: "look", pathPrefix: "/look/", kind: "safe", timeoutMs: 300, split: [{ service: "desk", weight: 75 }, { service: "vault", weight: 25 }] },
-            { name: "added", pathPrefix: "/added/", kind: "safe", service: "desk" },
+            { name: "look", prefix: "/look/", kind: "safe", timeoutMs: 300, split: [{ service: "desk", weight: 75 }, { service: "vault", weight: 25 }] },
+            { name: "added", prefix: "/added/", kind: "safe", service: "desk" },
         ];
         await site.store.setBehaviour({ put: { "op/config": platform.createPlatformConfiguration(9, routes) } });
         await wait(settleMs);
@@ -204,7 +204,7 @@
             await site.store.setBehaviour({
                 failure: "none",
                 remove: ["servers/w1"],
-                put: { "op/config": platform.createPlatformConfiguration(20 + ["busy", "many", "reset", "silent"].indexOf(failure), [...platform.usualRoutes, { name: marker, pathPrefix: `/${marker}/`, kind: "safe", service: "desk" }]) },
+                put: { "op/config": platform.createPlatformConfiguration(20 + ["busy", "many", "reset", "silent"].indexOf(failure), [...platform.usualRoutes, { name: marker, prefix: `/${marker}/`, kind: "safe", service: "desk" }]) },
             });
             await processes.waitFor("the change made meanwhile is in force", async () => (await first.send(`/${marker}/1`)).status === 200);
             const logs = first.listLogs("upstream-gone").length;
--- a/test/platform/translate.test.ts
+++ b/test/platform/translate.test.ts
@@ -15,8 +15,8 @@
     const doTest = (name: string, input: string, expected: RegExp) => t.match(translate.parseConfiguration(input)._unsafeUnwrapErr().message, expected, name);
     doTest("no JSON", "{", /not JSON/);
     doTest("no version", text({ version: "12" }), /version: value "12"/);
-    doTest("a route of no kind", text({ routes: [{ name: "r", host: "h", pathPrefix: "/a/", kind: "often", service: "desk" }] }), /routes\.0\.kind/);
-    doTest("a route to nowhere", text({ routes: [{ name: "r", host: "h", pathPrefix: "/a/", kind: "safe", service: "none" }] }), /no such service/);
+    doTest("a route of no kind", text({ routes: [{ name: "r", host: "h", prefix: "/a/", kind: "often", service: "desk" }] }), /routes\.0\.kind/);
+    doTest("a route to nowhere", text({ routes: [{ name: "r", host: "h", prefix: "/a/", kind: "safe", service: "none" }] }), /no such service/);
 });
 
 void tap.test("a worker's entry", async t => {
--- a/test/standins/directoryStore.ts
+++ b/test/standins/directoryStore.ts
@@ -1,5 +1,6 @@
 /** A stand-in for the users' key-value service, as their protocol page describes it, with faults to order. */
 
+import * as fs from "node:fs";
 import * as http from "node:http";
 import * as control from "./control.js";
 
@@ -34,6 +35,16 @@
 }
 
 const pageItems = 50;
+/** The parameters of the protocol's reads; like any field, they go by the names that the deployment asks for. */
+const parameterNames = ["key", "prefix", "after", "waitMs", "serializable"] as const;
+type ParameterName = (typeof parameterNames)[number];
+
+/** Returns the name that deploy/wire.toml gives each parameter. */
+function readParameterNames(): ReadonlyMap<ParameterName, string> {
+    const [, fields = ""] = /^\[fields\]$([^[]*)/m.exec(fs.readFileSync("deploy/wire.toml", "utf8")) ?? [];
+    const renamed = new Map([...fields.matchAll(/^(\w+) = "(\w+)"$/gm)].map(([, from, to]) => [from!, to!]));
+    return new Map(parameterNames.map(name => [name, renamed.get(name) ?? name]));
+}
 
 /** Starts a store; returns its ports. */
 export async function startDirectoryStore() {
@@ -45,6 +56,8 @@
     const waiting = new Set<() => void>();
     const behaviour: DirectoryStoreBehaviour = { failure: "none", delayMs: 0, lostReplies: 0 };
     const calls: Record<string, number> = {};
+    const names = readParameterNames();
+    const getParameter = (query: URLSearchParams, name: ParameterName) => query.get(names.get(name)!) ?? "";
 
     const format = (key: string, { value, revision: at, createRev, lease }: Item) => ({ key, value, revision: at, createRev, lease });
     const change = (key: string, value: string | undefined, lease: number) => {
@@ -82,8 +95,8 @@
         response.end(JSON.stringify(body));
     };
     const watch = (query: URLSearchParams, response: http.ServerResponse) => {
-        const after = Number(query.get("after"));
-        const prefix = query.get("prefix") ?? "";
+        const after = Number(getParameter(query, "after"));
+        const prefix = getParameter(query, "prefix");
         const check = () => {
             const found = events.filter(event => event.revision > after && event.key.startsWith(prefix));
             if (found.length > 0 || after < oldestKept) {
@@ -99,7 +112,7 @@
             }
             reply(response, 200, { events: found.map(event => event.item === undefined ? { key: event.key, revision: event.revision, deleted: true } : format(event.key, event.item)), asOf: revision });
         };
-        const timer = setTimeout(() => waiting.has(check) ? finish([]) : undefined, Number(query.get("waitMs")));
+        const timer = setTimeout(() => waiting.has(check) ? finish([]) : undefined, Number(getParameter(query, "waitMs")));
         response.once("close", () => {
             clearTimeout(timer);
             waiting.delete(check);
@@ -133,12 +146,12 @@
         calls[name] = (calls[name] ?? 0) + 1;
         const handlers: Readonly<Record<string, () => void>> = {
             "GET kv-key": () => {
-                const key = url.searchParams.get("key") ?? "";
+                const key = getParameter(url.searchParams, "key");
                 const item = items.get(key);
                 reply(response, item === undefined ? 404 : 200, item === undefined ? { asOf: revision } : { ...format(key, item), asOf: revision });
             },
             "GET kv-range": () => {
-                const found = [...items].filter(([key]) => key.startsWith(url.searchParams.get("prefix") ?? "") && key > (url.searchParams.get("after") ?? "")).sort(([a], [b]) => a < b ? -1 : 1);
+                const found = [...items].filter(([key]) => key.startsWith(getParameter(url.searchParams, "prefix")) && key > (getParameter(url.searchParams, "after"))).sort(([a], [b]) => a < b ? -1 : 1);
                 reply(response, 200, { items: found.slice(0, pageItems).map(([key, item]) => format(key, item)), hasMore: found.length > pageItems, asOf: revision });
             },
             "GET kv-watch": () => watch(url.searchParams, response),
@@ -162,6 +175,10 @@
             },
         };
         const handle = handlers[`${method} ${name}`];
+        const hasUnknown = [...url.searchParams.keys()].some(asked => ![...names.values()].includes(asked));
+        if (hasUnknown) {
+            return reply(response, 400, { error: "unknown parameter" });
+        }
         return handle === undefined ? reply(response, 404) : handle();
     };
     const server = http.createServer((request, response) => {
