Count attempts, waits, repeats left, upstreams and ages; write the last lines

Cause: the issue on explaining failures asks for metrics that were missing: attempts by result, time in the queue, the rest of the retry budget, upstreams by state, the age of the configuration and of the directory, and whether the store is reached. `process.exit` followed the last log line at once, so a slow reader could lose it.

The end of the process waits up to 200 ms for the reader of the log. The comments of AttemptObserver stand at their members.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -10,6 +10,9 @@
 import * as scheduler from "./scheduler.js";
 import type * as types from "./types.js";
 
+const waitBucketsSeconds = [0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
+const millisecondsPerSecond = 1_000;
+
 /** Options of admission. */
 export interface CreateAdmissionOptions {
     readonly context: context.Context;
@@ -23,9 +26,17 @@
 /** Admits requests to services. */
 export class Admission {
     private readonly schedulers = new Map<string, scheduler.Scheduler>();
+    private readonly waits: promClient.Histogram<"service" | "rank">;
     private ranksText = "";
 
     constructor(private readonly options: CreateAdmissionOptions) {
+        this.waits = new promClient.Histogram({
+            name: "agatebend_queue_seconds",
+            help: "Time that attempts waited for a slot, by service and rank.",
+            labelNames: ["service", "rank"],
+            buckets: waitBucketsSeconds,
+            registers: [options.context.metrics],
+        });
         options.configuration.addListener(current => this.setConfiguration(current));
         options.pool.addChangeListener(() => this.schedulers.forEach(known => known.dispatch()));
         const gauge: promClient.Gauge<"service" | "rank"> = new promClient.Gauge({
@@ -77,7 +88,7 @@
         }
         for (const service of Object.keys(document.services)) {
             if (!this.schedulers.has(service)) {
-                this.schedulers.set(service, new scheduler.Scheduler({ ...this.options, service, ranks: document.ranks }));
+                this.schedulers.set(service, new scheduler.Scheduler({ ...this.options, service, ranks: document.ranks, recordWait: (rank, waitedMs) => this.waits.observe({ service, rank }, waitedMs / millisecondsPerSecond) }));
             }
         }
     }
--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -26,6 +26,8 @@
     readonly allowance: types.Allowance;
     readonly chooseUpstream: types.ChooseUpstream;
     readonly formatGrounds: types.FormatGrounds;
+    /** Told how long an attempt waited for its slot. */
+    readonly recordWait?: (rank: string, waitedMs: number) => void;
 }
 
 interface Waiting {
@@ -177,6 +179,7 @@
         const grounds = this.options.formatGrounds(target, now);
         const attempt = this.options.pool.startAttempt(target, request.route, request.rankIndex);
         this.ledger.addInFlight(request.rankIndex, now);
+        this.options.recordWait?.(this.options.ranks[request.rankIndex]!.name, now - waiting.queuedAt);
         let isReleased = false;
         this.finishWaiting(
             waiting,
--- a/src/configuration/configurationService.ts
+++ b/src/configuration/configurationService.ts
@@ -10,6 +10,7 @@
 import * as checkDocument from "./checkDocument.js";
 import * as chunks from "./chunks.js";
 import type * as compiled from "./compiled.js";
+import * as configurationMetrics from "./configurationMetrics.js";
 import * as configurationState from "./configurationState.js";
 import type * as externalSource from "./externalSource.js";
 import * as freshness from "./freshness.js";
@@ -52,6 +53,7 @@
         const { context: shared, store: platform, mesh } = options;
         const { state } = this;
         this.freshness = new freshness.Freshness({ staleAfterMs: shared.settings.staleAfterMs }, shared.clock.getNow());
+        configurationMetrics.createConfigurationGauges(shared, state);
         this.writer = new changeWriter.ChangeWriter({ store: platform, getVersionInForce: () => state.getVersion(), getHeadInForce: () => state.getCurrent()?.head });
         this.peerSync = new peerSync.PeerSync({ context: shared, mesh, state });
         this.follower = new store.PrefixFollower({ context: shared, store: platform, prefix: shared.settings.configurationKey, onChange: entries => this.receiveExternal(entries.get(shared.settings.configurationKey)) });
--- a/src/discovery/directory.ts
+++ b/src/discovery/directory.ts
@@ -1,6 +1,7 @@
 /** Follows the directory in which upstreams register themselves. */
 
 import { err, ok, type Result } from "neverthrow";
+import * as promClient from "prom-client";
 import { z } from "zod";
 import * as configuration from "../configuration/index.js";
 import type * as context from "../kernel/context.js";
@@ -24,6 +25,7 @@
 const borrowIntervalMs = 250;
 /** The most peers that are asked about missing entries. */
 const askedPeers = 3;
+const millisecondsPerSecond = 1_000;
 const topic = "directory";
 const replySchema = z.object({ steadyMs: z.number(), entries: z.array(z.object({ key: z.string(), value: z.string(), revision: z.number() })).max(100_000) });
 const entrySchema = z.strictObject({ service: z.string(), definition: configuration.upstreamSchema });
@@ -48,6 +50,12 @@
         const { context: shared } = options;
         options.mesh.setHandler(topic, async () => ok({ steadyMs: this.follower.getSteadyMs(), entries: this.follower.isRead() ? [...this.follower.listEntries()] : [] }));
         this.follower = new store.PrefixFollower({ context: shared, store: options.store, prefix: shared.settings.upstreamDirectory, onChange: entries => this.receiveEntries(entries), onMissing: () => void this.checkMissing() });
+        const age: promClient.Gauge = new promClient.Gauge({
+            name: "agatebend_directory_age_seconds",
+            help: "Seconds since the directory of upstreams was read or last told a change.",
+            registers: [shared.metrics],
+            collect: () => age.set(this.follower.getSilenceMs() / millisecondsPerSecond),
+        });
     }
 
     /** Begins to follow the directory. */
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -17,6 +17,9 @@
 /** A gap of this many milliseconds beyond a look is told in a log line, since it explains what follows. */
 const stillMs = 1_000;
 
+/** The longest wait for the reader of the log before the process ends, in milliseconds. */
+const lastLinesMs = 200;
+
 /** Where the process is in its life. */
 export type LifecycleState = "starting" | "running" | "draining" | "stopped";
 
@@ -41,9 +44,12 @@
     private state: LifecycleState = "starting";
     private draining?: Promise<void>;
     private readonly stopListeners: (() => void)[] = [];
+    private readonly sink: logSink.LogSink;
 
     constructor(options: settings.ServeSettings) {
-        this.context = createContext(options);
+        const time = clock.createSystemClock();
+        this.sink = new logSink.LogSink({ clock: time });
+        this.context = createContext(options, time, this.sink);
         this.context.services.setService(lifecycleKey, {
             getState: () => this.getState(),
             drain: () => this.drain(),
@@ -129,12 +135,12 @@
         }
         this.state = "stopped";
         this.context.logger.writeInfo("instance-stopped", "the graceful shutdown is complete");
+        await this.sink.waitUntilWritten(lastLinesMs);
         this.stopListeners.forEach(listener => listener());
     }
 }
 
-function createContext(options: settings.ServeSettings): context.Context {
-    const time = clock.createSystemClock();
+function createContext(options: settings.ServeSettings, time: clock.Clock, sink: logSink.LogSink): context.Context {
     const random = randomness.createSystemRandomness();
     const identity = {
         instanceId: options.instanceId === "" ? `i-${random.getIdentifier(6)}` : options.instanceId,
@@ -142,7 +148,6 @@
         failureDomain: options.failureDomain,
     };
     const eventLog = new events.EventLog();
-    const sink = new logSink.LogSink({ clock: time });
     const metrics = new promClient.Registry();
     const droppedLines: promClient.Counter = new promClient.Counter({
         name: "agatebend_log_lines_dropped_total",
--- a/src/kernel/logSink.ts
+++ b/src/kernel/logSink.ts
@@ -27,6 +27,7 @@
     private windowBytes = 0;
     private dropped = 0;
     private reported = 0;
+    private readonly writtenListeners: (() => void)[] = [];
 
     constructor(private readonly options: CreateLogSinkOptions) {}
 
@@ -51,6 +52,23 @@
         this.writeWaiting();
     }
 
+    /**
+     * Waits until the reader has every line, as before the process ends.
+     * @param limitMs - The longest wait for a reader that has stopped, in milliseconds.
+     */
+    waitUntilWritten(limitMs: number): Promise<void> {
+        if (!this.isWriting) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            const timer = setTimeout(resolve, limitMs);
+            this.writtenListeners.push(() => {
+                clearTimeout(timer);
+                resolve();
+            });
+        });
+    }
+
     private isAdmitted(length: number, isQuiet: boolean): boolean {
         const now = this.options.clock.getNow();
         if (now - this.windowStartedAt >= windowMs) {
@@ -78,7 +96,11 @@
     }
 
     private writeWaiting(): void {
-        if (this.isWriting || this.waiting.length === 0) {
+        if (this.isWriting) {
+            return;
+        }
+        if (this.waiting.length === 0) {
+            this.writtenListeners.splice(0).forEach(listener => listener());
             return;
         }
         this.isWriting = true;
--- a/src/pool/index.ts
+++ b/src/pool/index.ts
@@ -5,6 +5,7 @@
 import * as leavingMarks from "./leavingMarks.js";
 import * as peers from "../peers/index.js";
 import * as pool from "./pool.js";
+import * as poolMetrics from "./poolMetrics.js";
 
 export { chooseUpstream, type ChooseUpstreamOptions } from "./chooseUpstream.js";
 export { LeavingMarks, leavingMarksKey } from "./leavingMarks.js";
@@ -18,6 +19,7 @@
     dependsOn: ["configuration", "peers"],
     create: shared => {
         const created = new pool.Pool(shared);
+        poolMetrics.createUpstreamGauge(shared, created);
         const marks = new leavingMarks.LeavingMarks({ context: shared, pool: created, mesh: shared.services.getService(peers.meshKey) });
         shared.services.setService(pool.poolKey, created);
         shared.services.setService(leavingMarks.leavingMarksKey, marks);
--- a/src/pool/pool.ts
+++ b/src/pool/pool.ts
@@ -12,9 +12,9 @@
 
 /** What observers of attempts are told. */
 export interface AttemptObserver {
-    /** Called when an attempt ends. */
     /** Called when an attempt begins. */
     readonly onStart?: (target: upstream.Upstream, attempt: types.AttemptRecord) => void;
+    /** Called when an attempt ends. */
     readonly onEnd: (target: upstream.Upstream, attempt: types.AttemptRecord, outcome: types.AttemptOutcome, now: number) => void;
 }
 
--- /dev/null
+++ b/src/requests/attemptMetrics.ts
@@ -0,0 +1,40 @@
+/** Metrics of attempts and of what is left for repeats. */
+
+import * as promClient from "prom-client";
+import type * as attempt from "./attempt.js";
+
+/** Options of the metrics. */
+export interface CreateAttemptMetricsOptions {
+    readonly registry: promClient.Registry;
+    /** Returns the repeats that are left by service. */
+    readonly getRemaining: () => ReadonlyMap<string, number>;
+}
+
+/** Counts attempts by how they ended up to the answer's header. */
+export class AttemptMetrics {
+    private readonly attempts: promClient.Counter<"service" | "result">;
+
+    constructor({ registry, getRemaining }: CreateAttemptMetricsOptions) {
+        this.attempts = new promClient.Counter({ name: "agatebend_attempts_total", help: "Attempts at upstreams, by service and by how they ended up to the answer's header.", labelNames: ["service", "result"], registers: [registry] });
+        const gauge: promClient.Gauge<"service"> = new promClient.Gauge({
+            name: "agatebend_repeats_left",
+            help: "Repeats that the budget of this instance still allows, by service.",
+            labelNames: ["service"],
+            registers: [registry],
+            collect: () => {
+                gauge.reset();
+                getRemaining().forEach((remaining, service) => gauge.set({ service }, Math.max(0, remaining)));
+            },
+        });
+    }
+
+    /**
+     * Records an attempt.
+     * @param service - The service.
+     * @param result - Its result.
+     */
+    recordAttempt(service: string, result: attempt.AttemptResult): void {
+        const status = result.kind === "answered" ? ` ${Math.floor((result.response.statusCode ?? 0) / 100)}xx` : "";
+        this.attempts.inc({ service, result: `${result.kind}${status}` });
+    }
+}
--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -9,6 +9,7 @@
 import * as errors from "../kernel/errors.js";
 import type * as pool from "../pool/index.js";
 import * as attempt from "./attempt.js";
+import * as attemptMetrics from "./attemptMetrics.js";
 import * as headers from "./headers.js";
 import * as retryBudget from "./retryBudget.js";
 import type * as types from "./types.js";
@@ -41,8 +42,13 @@
 export class ExecutorContext {
     private readonly budgets = new Map<string, retryBudget.RetryBudget>();
     private readonly startedAt: number;
+    private readonly metrics: attemptMetrics.AttemptMetrics;
 
     constructor(private readonly options: CreateExecutorContextOptions) {
+        this.metrics = new attemptMetrics.AttemptMetrics({
+            registry: options.context.metrics,
+            getRemaining: () => new Map([...this.budgets].map(([service, budget]) => [service, budget.getRemaining()])),
+        });
         this.startedAt = options.context.clock.getNow();
     }
 
@@ -54,6 +60,7 @@
         const { slot, request } = sent;
         const result = await (this.options.sendAttempt ?? attempt.sendAttempt)(sent);
         const ageMs = Math.round(this.context.clock.getNow() - slot.attempt.startedAt);
+        this.metrics.recordAttempt(request.route.service, result);
         request.trail.push(`[${slot.upstream.getId()} (${slot.grounds}) queued ${Math.round(slot.queuedMs)} ms, after ${ageMs} ms ${formatResult(result)}]`);
         return result;
     }
--- a/src/store/countedStore.ts
+++ b/src/store/countedStore.ts
@@ -14,6 +14,7 @@
 
     constructor(private readonly shared: context.Context, private readonly store: types.Store) {
         this.calls = new promClient.Counter({ name: "agatebend_store_calls_total", help: "Calls to the store.", labelNames: ["call", "result"], registers: [shared.metrics] });
+        const gauge: promClient.Gauge = new promClient.Gauge({ name: "agatebend_store_reachable", help: "1 while the last call to the store succeeded.", registers: [shared.metrics], collect: () => gauge.set(this.isReachable ? 1 : 0) });
     }
 
     readonly listEntries = (prefix: string) => this.recordCall("list", this.store.listEntries(prefix));
--- a/test/harness/processes.ts
+++ b/test/harness/processes.ts
@@ -91,6 +91,15 @@
         return this.child.pid;
     }
 
+    /** Stops or begins again to read the process's output, as a log collector that hangs does. */
+    setReading(isReading: boolean): void {
+        if (isReading) {
+            this.child.stdout!.resume();
+            return;
+        }
+        this.child.stdout!.pause();
+    }
+
     /** Sends a signal to this process alone. */
     sendSignal(signal: NodeJS.Signals): void {
         this.child.kill(signal);
--- a/test/kernel/logSink.test.ts
+++ b/test/kernel/logSink.test.ts
@@ -39,4 +39,23 @@
         t.match(text, /"event":"log-lines-dropped","dropped":1345/);
         t.match(text, /after\n/);
     });
+    await t.test("the end waits for the reader, and not for one that has stopped", async t => {
+        const pending: ((error: undefined, written: number) => void)[] = [];
+        const sink = new logSink.LogSink({ clock: clock.createVirtualClock(), writeBytes: (_bytes, onDone) => void pending.push(onDone) });
+        let isWritten = false;
+        await sink.waitUntilWritten(10_000);
+        sink.writeLine("first", false);
+        sink.writeLine("second", false);
+        const waited = sink.waitUntilWritten(10_000).then(() => {
+            isWritten = true;
+        });
+        pending.shift()!(undefined, "first\n".length);
+        await new Promise(resolve => setImmediate(resolve));
+        t.notOk(isWritten, "the second line is still under way");
+        pending.shift()!(undefined, "second\n".length);
+        await waited;
+        sink.writeLine("third", false);
+        await sink.waitUntilWritten(20);
+        t.equal(pending.length, 1, "a reader that has stopped is not waited for longer");
+    });
 });
