Try a request that has all of its time, however slow its route was

Cause: a request was refused as soon as 1.5 times its route's usual latency did not fit into the time it had left. An instance that had seen a few slow answers, as after a restart, then refused that route's requests for good, without waiting and beside idle upstreams: only sent requests make samples.

Ruled out: a shortage (1 of 3 slots busy at upstreams believed sound), the retry budget, a late configuration.

Change: the time that must be left is at most half of what the request came with. One question about missing entries is under way at a time (30 entries that went missing at once cost 30 questions, now 1 or 2).

Seen failing first: test/admission/scheduler.test.ts, test/discovery/directory.test.ts.

--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -14,8 +14,13 @@
 const lookAgainMs = 25;
 /** How many waiting requests of one rank are tried when the first ones may not go to the free upstreams. */
 const lookAhead = 8;
-/** The part of the usual latency that must still be left before the deadline. */
+/** The time that must still be left before the deadline, as a multiple of the usual latency. */
 const minimumTimeFactor = 1.5;
+/**
+ * It is never more than this part of the time that the request had when it came. A route that was slow once would
+ * otherwise be refused for good, since only requests that are sent can show that it is quick again.
+ */
+const mostTimePart = 0.5;
 
 /** Options of a scheduler. */
 export interface CreateSchedulerOptions {
@@ -204,7 +209,7 @@
     private removeHopeless(rank: number, now: number): void {
         const queue = this.queues[rank]!;
         let first = queue[0];
-        while (first !== undefined && first.request.deadlineAt - now < (first.request.getUsualLatencyMs() ?? 0) * minimumTimeFactor) {
+        while (first !== undefined && first.request.deadlineAt - now < computeMinimumMs(first)) {
             queue.shift();
             this.finishWaiting(first, err(errors.createError("deadlineBeforeSend", "the deadline could no longer be met when the request's turn came")));
             first = queue[0];
@@ -216,3 +221,8 @@
         waiting.resolve(result);
     }
 }
+
+/** Computes the time that must be left to a request for it to be sent, in milliseconds. */
+function computeMinimumMs({ request, queuedAt }: Waiting): number {
+    return Math.min((request.getUsualLatencyMs() ?? 0) * minimumTimeFactor, (request.deadlineAt - queuedAt) * mostTimePart);
+}
--- a/src/discovery/directory.ts
+++ b/src/discovery/directory.ts
@@ -43,6 +43,8 @@
     private stopBorrowing: loop.Cancel = () => {};
     private readonly follower: store.PrefixFollower;
     private parseEntry: ParseEntry = parseOwnEntry;
+    private isChecking = false;
+    private isCheckDue = false;
     /** What each entry says, by key, so that only changed entries are parsed again. */
     private parsed = new Map<string, { readonly entry: store.Entry; readonly found: Found | undefined; }>();
 
@@ -85,11 +87,26 @@
         this.options.pool.setDiscovered([...this.parsed.values()].flatMap(({ found }) => found ?? []));
     }
 
+    /** While an answer is awaited, further losses wait for the next question. */
+    private async checkMissing(): Promise<void> {
+        if (this.isChecking) {
+            this.isCheckDue = true;
+            return;
+        }
+        this.isChecking = true;
+        do {
+            this.isCheckDue = false;
+            await this.checkWithPeers();
+        }
+        while (this.isCheckDue);
+        this.isChecking = false;
+    }
+
     /**
      * Asks a peer about entries that are missing after the store was away from here: where the peer has followed the
      * store all the while and lacks them too, it was this instance that was cut off, and they are gone.
      */
-    private async checkMissing(): Promise<void> {
+    private async checkWithPeers(): Promise<void> {
         const { mesh, context: { logger } } = this.options;
         const silenceMs = this.follower.getSilenceMs();
         for (const peer of mesh.listLinkedPeers().slice(0, askedPeers)) {
