Let repeated looks notice a standstill before anything is read

Cause: held back every late timer until the sockets were read, the repeated looks included. An instance that resumed therefore read the peers' old heartbeats first, took itself for confirmed, and answered 200 to requests for a feature that was retired while it stood still.

Ruled out: the change to the queue (the file fails with the loop's change alone and passes without it).

Change: only tasks that run once, which are the time limits, wait for what lies ready. Looks run as before, and see the silence.

--- a/src/kernel/loop.ts
+++ b/src/kernel/loop.ts
@@ -18,8 +18,8 @@
 
 /**
  * Runs tasks later on the one thread.
- * @remarks A task that was held up runs only after what has arrived meanwhile is read, so that a time limit does not
- * overtake the answer that lies ready.
+ * @remarks A task that runs once and was held up runs only after what has arrived meanwhile is read, so that a time
+ * limit does not overtake the answer that lies ready.
  */
 export class Loop {
     private readonly cancels = new Set<Cancel>();
@@ -55,25 +55,14 @@
     }
 
     /**
-     * Runs a task again and again.
+     * Runs a task again and again; a look at what is believed, it notices a standstill before anything that lay ready is read.
      * @param intervalMs - Milliseconds between two runs.
      * @param task - The task.
      */
     scheduleRepeatedly(intervalMs: number, task: () => void): Cancel {
-        let immediate: NodeJS.Immediate | undefined;
-        let dueAt = this.options.clock.getNow() + intervalMs;
-        const timer = setInterval(() => {
-            const isHeldUp = this.isHeldUp(dueAt);
-            dueAt = this.options.clock.getNow() + intervalMs;
-            if (isHeldUp) {
-                immediate = setImmediate(() => this.runTask(task));
-                return;
-            }
-            this.runTask(task);
-        }, intervalMs);
+        const timer = setInterval(() => this.runTask(task), intervalMs);
         const cancel = () => {
             clearInterval(timer);
-            clearImmediate(immediate);
             this.cancels.delete(cancel);
         };
         return this.addCancel(cancel);
