Take nothing for confirmed while another instance is known to be ahead

A process that was stopped while it waited for a processor reads its sockets before its timers run. The peers' old news then confirms the configuration at the next look, while the newer version that the same news tells of is still being fetched; a request in between is answered by the old one.

Change: nothing confirms the configuration while an instance that is heard has a newer version in force.

--- a/src/configuration/configurationService.ts
+++ b/src/configuration/configurationService.ts
@@ -216,9 +216,11 @@
     private recordFreshness(): void {
         const { mesh, context: shared, store: platform } = this.options;
         const others = mesh.listMembers().filter(member => member.instanceId !== shared.identity.instanceId);
-        const heard = others.filter(member => member.state !== "suspect").map(member => member.instanceId);
+        const audible = others.filter(member => member.state !== "suspect");
+        const heard = audible.map(member => member.instanceId);
+        const isBehind = audible.some(member => member.configurationVersion > this.state.getVersion());
         const leaving = others.filter(member => member.state === "draining").map(member => member.instanceId);
-        this.freshness.recordInput({ heard, leaving, storeSilenceMs: platform.getSilenceMs() }, shared.clock.getNow());
+        this.freshness.recordInput({ heard, leaving, storeSilenceMs: platform.getSilenceMs(), isBehind }, shared.clock.getNow());
     }
 }
 
--- a/src/configuration/freshness.ts
+++ b/src/configuration/freshness.ts
@@ -11,6 +11,8 @@
     readonly leaving: readonly string[];
     /** Milliseconds since the store answered. */
     readonly storeSilenceMs: number;
+    /** Whether an instance that is heard has a newer version in force than this one. */
+    readonly isBehind: boolean;
 }
 
 /** Options of the judgement. */
@@ -42,7 +44,8 @@
             }
         }
         const isStoreHeard = input.storeSilenceMs <= this.options.staleAfterMs;
-        if (isStoreHeard || this.isMajorityHeard(input)) {
+        // After a standstill the others' old news lies ready; it confirms nothing while it tells of a version still to be fetched.
+        if (!input.isBehind && (isStoreHeard || this.isMajorityHeard(input))) {
             this.confirmedAt = now;
         }
     }
