--- a/test/integration.secret.test.ts
+++ b/test/integration.secret.test.ts
@@ -6,10 +6,10 @@
 import * as path from "node:path";
 import tap from "tap";
 import * as fleet from "./harness/fleet.js";
+import * as ports from "./harness/ports.js";
 import * as processes from "./harness/processes.js";
 
 const tlsFlags = { "tls-certificate-file": "test/fixtures/instance.pem", "tls-key-file": "test/fixtures/instance.key", "tls-authority-file": "test/fixtures/authority.pem" };
-const ports = (first: number) => ({ "peer-listen": `127.0.0.1:${first}`, "operator-listen": `127.0.0.1:${first + 1}` });
 
 function runClient(words: readonly string[]) {
     const run = childProcess.spawnSync(process.execPath, ["dist/agatebend.cjs", ...words], { encoding: "utf8", timeout: 20_000 });
@@ -23,13 +23,13 @@
         fs.writeFileSync(file, `${name}\n`);
         return file;
     }) as [string, string];
-    const start = (id: string, first: number, flags: Readonly<Record<string, string>>, seeds: readonly string[]) =>
-        fleet.startInstance({ id, failureDomain: "north", storeUrl: "memory:", seeds, flags: { ...ports(first), ...flags }, isUnready: true });
+    const [peer, operator] = [`127.0.0.1:${await ports.findPort()}`, `127.0.0.1:${await ports.findPort()}`];
+    const start = (id: string, flags: Readonly<Record<string, string>>) => fleet.startInstance({ id, failureDomain: "north", storeUrl: "memory:", seeds: id === "i1" ? [] : [peer], flags, isUnready: true });
     const secured = { ...tlsFlags, "shared-secret-file": secretFile };
-    const first = await start("i1", 17_811, secured, []);
-    const second = await start("i2", 17_813, secured, ["127.0.0.1:17811"]);
-    const stranger = await start("i3", 17_815, { ...tlsFlags, "shared-secret-file": wrongFile }, ["127.0.0.1:17811"]);
-    const plain = await start("i4", 17_817, { "shared-secret-file": secretFile }, ["127.0.0.1:17811"]);
+    const first = await start("i1", { ...secured, "peer-listen": peer, "operator-listen": operator });
+    const second = await start("i2", secured);
+    const stranger = await start("i3", { ...tlsFlags, "shared-secret-file": wrongFile });
+    const plain = await start("i4", { "shared-secret-file": secretFile });
     const all = [first, second, stranger, plain];
     t.teardown(async () => {
         await Promise.all(all.map(instance => instance.process.stop()));
@@ -37,12 +37,12 @@
     });
     await processes.waitFor("two are linked", () => first.listLogs("peer-linked").length > 0);
     await processes.waitFor("the stranger is rejected", () => first.listLogs("peer-rejected").some(line => line.message.includes("does not know the shared secret")));
-    const clientFlags = ["--operator", "127.0.0.1:17812", "--tls-authority-file", "test/fixtures/authority.pem"];
+    const clientFlags = ["--operator", operator, "--tls-authority-file", "test/fixtures/authority.pem"];
     const status = runClient(["status", "--json", ...clientFlags, "--secret-file", secretFile]);
     t.equal(status.status, 0, status.text);
     t.match(status.text, /"i2"/);
     t.notMatch(status.text, /"i3"|"i4"/, "neither a wrong secret nor plain TCP joins");
     t.match(runClient(["status", ...clientFlags, "--secret-file", wrongFile]), { status: 1, text: /secret|401|nauthenticated/ });
-    t.equal(runClient(["status", "--operator", "127.0.0.1:17812", "--secret-file", secretFile]).status, 1, "plain HTTP");
+    t.equal(runClient(["status", "--operator", operator, "--secret-file", secretFile]).status, 1, "plain HTTP");
     t.match(runClient(["drain", "--instance", "i2", ...clientFlags, "--secret-file", secretFile]), { status: 0, text: /i2 drains/ }, "a call is passed on to another instance");
 });
