Look at the deadline once more when the connection is there

An attempt that was connecting when the process was stopped had its connection when it resumed, and Node then wrote the order, after the deadline and the key's expiry.

Ruled out: a second run of the order (it ran once), an attempt that another instance made (they do not own the key).

Change: a connection that comes after the deadline is closed before anything is written, and the attempt counts as unreachable, so "not run" stays true.

Seen failing first: test/requests/attempt.test.ts (answered instead of unreachable, arrived 1 instead of 0, for standstills of 300 and 700 ms).

--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -45,6 +45,12 @@
     readonly getPatience: (ageMs: number) => number | "over";
 }
 
+interface Progress {
+    wasSent: boolean;
+    /** Called in place of sending when the connection comes after the deadline. */
+    readonly onLate: () => void;
+}
+
 /**
  * Sends a request and waits for the answer's header.
  * @param options - The request and where it goes.
@@ -53,7 +59,10 @@
 export function sendAttempt(options: SendAttemptOptions): Promise<AttemptResult> {
     const { slot, service, signal, request } = options;
     return new Promise(resolve => {
-        const progress = { wasSent: false };
+        const progress: Progress = {
+            wasSent: false,
+            onLate: () => finish({ kind: "unreachable", reason: "the deadline passed before there was a connection" }, true),
+        };
         const sent = createRequest(options, progress);
         const finish = (result: AttemptResult, destroys: boolean) => {
             stopWaiting();
@@ -135,7 +144,7 @@
     return undefined;
 }
 
-function createRequest(options: SendAttemptOptions, progress: { wasSent: boolean; }): http.ClientRequest {
+function createRequest(options: SendAttemptOptions, progress: Progress): http.ClientRequest {
     const { slot, request, service, context: shared } = options;
     const { host, port } = settings.parseAddress(slot.upstream.getAddress());
     const remainingMs = Math.max(1, Math.floor(request.deadlineAt - shared.clock.getNow()));
@@ -164,7 +173,12 @@
             progress.wasSent = true;
             return;
         }
+        // Runs before Node writes what waits for the connection, so that a process which stood still sends nothing late.
         socket.once("connect", () => {
+            if (shared.clock.getNow() >= request.deadlineAt) {
+                progress.onLate();
+                return;
+            }
             progress.wasSent = true;
         });
     });
--- /dev/null
+++ b/test/requests/attempt.test.ts
@@ -0,0 +1,57 @@
+/** An attempt whose process stood still sends nothing after its deadline. */
+
+import * as http from "node:http";
+import type * as net from "node:net";
+import tap from "tap";
+import * as clock from "../../src/kernel/clock.js";
+import * as loop from "../../src/kernel/loop.js";
+import * as attempt from "../../src/requests/attempt.js";
+
+const deadlineMs = 150;
+const settleMs = 200;
+
+function runStandstill(durationMs: number): void {
+    const until = performance.now() + durationMs;
+    while (performance.now() < until) {
+        // The thread is held, as by a suspended process.
+    }
+}
+
+void tap.test("a connection that comes after a standstill", async t => {
+    let arrived = 0;
+    const server = http.createServer((_request, response) => {
+        arrived += 1;
+        response.end("done");
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    t.teardown(() => {
+        server.close();
+        server.closeAllConnections();
+    });
+    const time = clock.createSystemClock();
+    const timers = new loop.Loop({ clock: time, getLogger: () => undefined as never });
+    const doTest = (name: string, standstillMs: number, expected: { readonly kind: string; readonly arrived: number; }) =>
+        t.test(name, async t => {
+            arrived = 0;
+            const startedAt = time.getNow();
+            const pending = attempt.sendAttempt({
+                context: { clock: time, loop: timers, identity: { instanceId: "i1" } },
+                slot: { upstream: { getAddress: () => `127.0.0.1:${(server.address() as net.AddressInfo).port}`, getId: () => "u1" }, attempt: { startedAt } },
+                service: { deadlineHeader: "deadline-ms", drainingHeader: "draining", shed: { status: 503, header: "not-executed" } },
+                request: { method: "POST", path: "/", rawHeaders: ["Host", "desk.example"], body: Buffer.from("order"), deadlineAt: startedAt + deadlineMs },
+                agent: undefined,
+                signal: new AbortController().signal,
+                onLeaving: () => {},
+                // An order whose outcome is kept is waited for beyond its deadline.
+                getPatience: () => 10_000,
+            } as unknown as attempt.SendAttemptOptions);
+            await new Promise<void>(resolve => process.nextTick(resolve));
+            runStandstill(standstillMs);
+            t.equal((await pending).kind, expected.kind);
+            await new Promise(resolve => setTimeout(resolve, settleMs));
+            t.equal(arrived, expected.arrived);
+        });
+    await doTest("within the deadline", 20, { kind: "answered", arrived: 1 });
+    await doTest("beyond the deadline", 300, { kind: "unreachable", arrived: 0 });
+    await doTest("beyond the deadline and the limit of the connection", 700, { kind: "unreachable", arrived: 0 });
+});
