Soak the real programs under faults drawn from a seed

New: npm run soak (test/soak/, scripts/soak.ts). Instances behind fault-injecting proxies to the store and from their peers, workers and a store as stand-ins, callers that keep connections and old answers, give up, honour Retry-After. Twenty kinds of fault (workers, store, links, freezes, kills, planned stops, clock steps, configuration storms, malformed and older versions) are drawn from the seed and overlap. Checked from what callers and workers see: one run an order, true refusals, whole answers of one's own, nothing to a worker that leaves, versions only forward and in force within 2 s, planned stops that cut nothing, time-outs, kept connections, no process that ends by itself, recovery and work for every sound worker afterwards. Bounds are the platform's; a span in which an instance was disturbed, and 3 s after it, is left out of those with a time.

Not covered: link resets at workers, thin links, clocks that run at another rate.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -29,7 +29,7 @@
 }
 if (process.argv.includes("--test")) {
     const banner = { js: "import { createRequire as createBundleRequire } from \"node:module\"; const require = createBundleRequire(import.meta.url);" };
-    const entryPoints = ["test/standins/main.ts", ...fs.readdirSync("bench").filter(name => name.endsWith(".bench.ts")).map(name => `bench/${name}`), "scripts/demo.ts", "scripts/emulate.ts", "scripts/generateDocs.ts"];
+    const entryPoints = ["test/standins/main.ts", ...fs.readdirSync("bench").filter(name => name.endsWith(".bench.ts")).map(name => `bench/${name}`), "scripts/demo.ts", "scripts/emulate.ts", "scripts/soak.ts", "scripts/generateDocs.ts"];
     await build({ ...shared, entryPoints: entryPoints.filter(path => fs.existsSync(path)), format: "esm", outdir: "dist/tools", outExtension: { ".js": ".mjs" }, outbase: ".", banner });
 }
 if (process.argv.includes("--binary")) {
--- a/test/harness/platform.ts
+++ b/test/harness/platform.ts
@@ -39,9 +39,29 @@
     { name: "file", prefix: "/file/", kind: "download", service: "vault" },
 ];
 
-/** An instance on the platform. */
+/** An instance on the platform; its process may be started again at the same addresses. */
 export class PlatformInstance {
-    constructor(readonly id: string, readonly process: processes.TestProcess, readonly addresses: { readonly caller: string; readonly entries: string; readonly ready: string; readonly operator: string; readonly settings: string; }) {}
+    process: processes.TestProcess;
+    /** What the processes before the present one have written. */
+    readonly earlierLines: string[] = [];
+
+    constructor(
+        readonly id: string,
+        readonly addresses: { readonly caller: string; readonly entries: string; readonly ready: string; readonly peer: string; readonly operator: string; readonly settings: string; },
+        private readonly words: readonly string[] = [],
+    ) {
+        this.process = this.createProcess();
+    }
+
+    /** Starts the process again after its end. */
+    startAgain(): void {
+        this.earlierLines.push(...this.process.lines);
+        this.process = this.createProcess();
+    }
+
+    private createProcess(): processes.TestProcess {
+        return new processes.TestProcess(process.execPath, [...this.words, program, "serve"], { AGATEBEND_CONFIG: this.addresses.settings });
+    }
 
     /** Sends a client's request with an identifier of its own. */
     send(requestPath: string, options: processes.SendOptions & { readonly requestId?: string; readonly deadlineMs?: number; } = {}): Promise<processes.Answer> {
@@ -68,8 +88,13 @@
         await this.store.setBehaviour({ put: { [`servers/w${index}`]: entry } });
     }
 
-    /** Starts an instance; it joins through those that were started before. */
-    async startInstance(failureDomain = "north", flags: Readonly<Record<string, string | number>> = {}): Promise<PlatformInstance> {
+    /**
+     * Starts an instance; it joins through those that were started before.
+     * @param failureDomain - Its failure domain.
+     * @param flags - Settings that differ from those of most tests.
+     * @param words - What the runtime is told beside the program.
+     */
+    async startInstance(failureDomain = "north", flags: Readonly<Record<string, string | number>> = {}, words: readonly string[] = []): Promise<PlatformInstance> {
         const id = `front-${this.startedCount}`;
         this.startedCount += 1;
         const [caller, entries, ready, peer, operator] = await Promise.all(Array.from({ length: 5 }, async () => `127.0.0.1:${await ports.findPort()}`)) as [string, string, string, string, string];
@@ -99,10 +124,9 @@
             ...flags,
         };
         fs.writeFileSync(settings, Object.entries(values).map(([flag, value]) => `${flag}=${value}\n`).join(""));
-        const started = new processes.TestProcess(process.execPath, [program, "serve"], { AGATEBEND_CONFIG: settings });
-        const instance = new PlatformInstance(id, started, { caller, entries, ready, operator, settings });
+        const instance = new PlatformInstance(id, { caller, entries, ready, peer: String(values["peer-listen"]), operator, settings }, words);
         this.instances.push(instance);
-        await processes.waitFor(`instance ${id} starts: ${started.errors.join("")}`, () => started.exitCode !== undefined || instance.listLogs("instance-started").length > 0);
+        await processes.waitFor(`instance ${id} starts: ${instance.process.errors.join("")}`, () => instance.process.exitCode !== undefined || instance.listLogs("instance-started").length > 0);
         return instance;
     }
 
