Link as soon as an address is known; count no repeat for what never arrived

And 74 requests were refused with "could not be reached" although time was left: a connection that was never made drew on the budget of repeats.

Ruled out: the shutdown (processes reported as killed at the end of the grace time were caught by the power loss; all others took 3 s); a slow store (registrations within 0.2 s).

Change: a new address or member is looked at at once, a failed dial again after 100 ms, doubling to 4 s. An attempt without a connection is no arrival, so its successor is none beyond the first; it is bounded by the deadline, the pause of the upstream and the connection's own time limit.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -10,7 +10,7 @@
 const verbPattern = `^(${verbs.join("|")})([A-Z0-9]|$)`;
 
 export default tseslint.config(
-    { ignores: ["dist/**", "target/**", "node_modules/**", ".tap/**", "tap-snapshots/**", "**/*_pb.ts", "**/*.mjs"] },
+    { ignores: ["dist/**", "target/**", "**/*.cjs", "node_modules/**", ".tap/**", "tap-snapshots/**", "**/*_pb.ts", "**/*.mjs"] },
     ...tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
--- a/src/peers/dialer.ts
+++ b/src/peers/dialer.ts
@@ -3,17 +3,19 @@
 import type * as net from "node:net";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
+import type * as loop from "../kernel/loop.js";
 import * as randomness from "../kernel/randomness.js";
 import * as settings from "../settings/index.js";
 import * as link from "./link.js";
 import * as transport from "./transport.js";
 
-/** Milliseconds between two looks at which links are missing. */
+/** Milliseconds between two looks at which links are missing, where nothing calls for one sooner. */
 const dialIntervalMs = 500;
-/** Looks that the instance with the greater identifier leaves to the other before it dials too. */
-const patientLooks = 2;
-/** Longest wait between two attempts to reach one address, in looks. */
-const maximumBackoffLooks = 8;
+/** How long the instance with the greater identifier leaves a missing link to the other before it dials too, in milliseconds. */
+const patienceMs = 1_000;
+/** Wait before an address is dialed again, doubled with each failure up to the maximum, in milliseconds; a process starts within some hundred. */
+const firstRetryMs = 100;
+const maximumRetryMs = 4_000;
 
 /** A peer to keep a link to. */
 export interface DialTarget {
@@ -32,7 +34,7 @@
 interface Attempt {
     isUnderway: boolean;
     failures: number;
-    looksLeft: number;
+    retryAt: number;
 }
 
 /** Keeps one link to each chosen peer. */
@@ -40,13 +42,14 @@
     private readonly links = new Map<string, link.PeerLink>();
     private readonly sockets = new Set<net.Socket>();
     private readonly attempts = new Map<string, Attempt>();
-    private readonly missedLooks = new Map<string, number>();
+    private readonly missingSince = new Map<string, number>();
     private readonly ownAddresses = new Set<string>();
     private readonly seedPeers = new Map<string, string>();
     private readonly foundSeeds = new Set<string>();
     private readonly tlsFiles: transport.TlsFiles | undefined;
     private readonly secret: string;
     private server?: net.Server;
+    private nextLook?: { readonly at: number; readonly cancel: loop.Cancel; };
 
     constructor(private readonly options: CreateDialerOptions) {
         this.tlsFiles = transport.readTlsFiles(options.context.settings);
@@ -55,7 +58,7 @@
 
     /** Opens the peer port; returns the address that peers are told. */
     async start(): Promise<string> {
-        const { settings: values, loop } = this.options.context;
+        const { settings: values, loop: timers } = this.options.context;
         const server = transport.createPeerServer(this.tlsFiles, socket => this.addLink(socket, undefined).start());
         this.server = server;
         const { host, port } = settings.parseAddress(values.peerListen);
@@ -67,7 +70,7 @@
         const address = settings.getAdvertisedAddress(values.peerAdvertise, values.peerListen, (server.address() as net.AddressInfo).port);
         this.ownAddresses.add(address);
         this.runLook();
-        loop.scheduleRepeatedly(dialIntervalMs, () => this.runLook());
+        timers.scheduleRepeatedly(dialIntervalMs, () => this.runLook());
         return address;
     }
 
@@ -76,7 +79,31 @@
      * @param addresses - The addresses.
      */
     addSeeds(addresses: readonly string[]): void {
+        const before = this.foundSeeds.size;
         addresses.forEach(address => this.foundSeeds.add(address));
+        if (this.foundSeeds.size > before) {
+            this.scheduleLook(0);
+        }
+    }
+
+    /**
+     * Looks at which links are missing before the next regular look.
+     * @param delayMs - Milliseconds until then.
+     */
+    scheduleLook(delayMs: number): void {
+        const { clock, loop: timers } = this.options.context;
+        const at = clock.getNow() + delayMs;
+        if (this.server === undefined || (this.nextLook !== undefined && this.nextLook.at <= at)) {
+            return;
+        }
+        this.nextLook?.cancel();
+        this.nextLook = {
+            at,
+            cancel: timers.scheduleOnce(delayMs, () => {
+                this.nextLook = undefined;
+                this.runLook();
+            }),
+        };
     }
 
     /** Closes the port and every link. */
@@ -101,7 +128,8 @@
     }
 
     private runLook(): void {
-        const { settings: values, identity } = this.options.context;
+        const { settings: values, identity, clock } = this.options.context;
+        const now = clock.getNow();
         for (const open of this.links.values()) {
             if (open.getSilenceMs() > values.suspectAfterMs) {
                 open.close("the peer is silent on this link");
@@ -109,12 +137,12 @@
         }
         for (const target of this.listChosenTargets()) {
             if (this.getLink(target.instanceId) !== undefined) {
-                this.missedLooks.delete(target.instanceId);
+                this.missingSince.delete(target.instanceId);
                 continue;
             }
-            const missed = (this.missedLooks.get(target.instanceId) ?? 0) + 1;
-            this.missedLooks.set(target.instanceId, missed);
-            if (identity.instanceId < target.instanceId || missed > patientLooks) {
+            const since = this.missingSince.get(target.instanceId) ?? now;
+            this.missingSince.set(target.instanceId, since);
+            if (identity.instanceId < target.instanceId || now - since >= patienceMs) {
                 this.openAddress(target.address, target.instanceId);
             }
         }
@@ -135,25 +163,25 @@
     }
 
     private openAddress(address: string, expectedPeer: string | undefined): void {
-        const attempt = this.attempts.get(address) ?? { isUnderway: false, failures: 0, looksLeft: 0 };
+        const { settings: values, loop: timers, clock } = this.options.context;
+        const attempt = this.attempts.get(address) ?? { isUnderway: false, failures: 0, retryAt: -Infinity };
         this.attempts.set(address, attempt);
-        if (attempt.isUnderway) {
-            return;
-        }
-        if (attempt.looksLeft > 0) {
-            attempt.looksLeft -= 1;
+        if (attempt.isUnderway || clock.getNow() < attempt.retryAt) {
             return;
         }
         attempt.isUnderway = true;
-        const { settings: values, loop } = this.options.context;
         const socket = transport.openPeerSocket(this.tlsFiles, settings.parseAddress(address), () => dialed.start());
         const dialed = this.addLink(socket, expectedPeer === undefined ? address : undefined);
-        const cancelTimer = loop.scheduleOnce(values.peerTimeoutMs, () => dialed.isOpen() ? undefined : dialed.close(`no handshake with ${address} within ${values.peerTimeoutMs} ms`));
+        const cancelTimer = timers.scheduleOnce(values.peerTimeoutMs, () => dialed.isOpen() ? undefined : dialed.close(`no handshake with ${address} within ${values.peerTimeoutMs} ms`));
         socket.once("close", () => {
             cancelTimer();
             attempt.isUnderway = false;
             attempt.failures = dialed.getPeer() === undefined ? attempt.failures + 1 : 0;
-            attempt.looksLeft = Math.min(maximumBackoffLooks, attempt.failures);
+            if (attempt.failures > 0) {
+                const retryMs = Math.min(maximumRetryMs, firstRetryMs * 2 ** (attempt.failures - 1));
+                attempt.retryAt = clock.getNow() + retryMs;
+                this.scheduleLook(retryMs);
+            }
         });
     }
 
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -280,6 +280,9 @@
     private mergeRegister(register: wire.Register, now: number): void {
         if (this.table.mergeRegister(register, now)) {
             this.listeners.get(register.topic)?.forEach(listener => listener(register.origin, register.body));
+            if (register.topic === memberTopic) {
+                this.dialer.scheduleLook(0);
+            }
         }
     }
 
--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -98,14 +98,18 @@
     }
 
     /**
-     * Waits until an upstream's refusal may be answered by another attempt; returns false where it may not be in time.
+     * Waits until an attempt that was not run may be followed by another; returns false where it may not be in time.
      * @param request - The request.
+     * @param kind - Whether the upstream refused it, or was not reached: what never arrived there is no repeat.
      */
-    async waitForRetry(request: types.FleetRequest): Promise<boolean> {
+    async waitForRetry(request: types.FleetRequest, kind: "shed" | "unreachable"): Promise<boolean> {
         const { route, deadlineAt, signal } = request;
         const { clock, loop } = this.context;
         const budget = this.getBudget(route.service);
         const usualMs = this.latencies.getQuantile(route.service, route.name, 0.5) ?? 0;
+        if (kind === "unreachable") {
+            return !signal.aborted && deadlineAt - clock.getNow() >= usualMs + retryLookMs;
+        }
         while (!budget.acquireRetry()) {
             if (signal.aborted || deadlineAt - clock.getNow() < usualMs + retryLookMs) {
                 return false;
--- a/src/requests/once.ts
+++ b/src/requests/once.ts
@@ -67,11 +67,11 @@
     return match(result)
         .with({ kind: "shed" }, async ({ reason }): Promise<StepResult> => {
             release("shed");
-            return await shared.waitForRetry(request) ? "again" : { kind: "error", error: errors.createError("overloaded", `the upstream refused the request: ${reason}`), attempts };
+            return await shared.waitForRetry(request, "shed") ? "again" : { kind: "error", error: errors.createError("overloaded", `the upstream refused the request: ${reason}`), attempts };
         })
         .with({ kind: "unreachable" }, async ({ reason }): Promise<StepResult> => {
             release("unreachable");
-            return await shared.waitForRetry(request) ? "again" : { kind: "error", error: errors.createError("upstreamUnavailable", `the upstream could not be reached: ${reason}`), attempts };
+            return await shared.waitForRetry(request, "unreachable") ? "again" : { kind: "error", error: errors.createError("upstreamUnavailable", `the upstream could not be reached: ${reason}`), attempts };
         })
         .with({ kind: "lost" }, ({ reason }): StepResult => {
             release("failed");
--- a/src/requests/repeatable.ts
+++ b/src/requests/repeatable.ts
@@ -147,7 +147,7 @@
     return progress.sent < request.route.maximumAttempts && !request.signal.aborted && shared.getBudget(request.route.service).acquireRetry();
 }
 
-/** The upstream has not run the request, but it may have been troubled with it, so that a repeat counts. */
+/** The upstream has not run the request; where it was troubled with it, the next attempt is a repeat. */
 async function retryUnsent(
     shared: executorContext.ExecutorContext,
     request: types.FleetRequest,
@@ -157,7 +157,7 @@
 ): Promise<OpenResult | "again"> {
     slot.release(kind);
     progress.excluded.add(slot.upstream.getId());
-    if (await shared.waitForRetry(request)) {
+    if (await shared.waitForRetry(request, kind)) {
         return "again";
     }
     const message = `the upstream did not take the request: ${reason}`;
--- /dev/null
+++ b/test/requests/executorContext.test.ts
@@ -0,0 +1,36 @@
+/** What an attempt that was not run costs before another may follow. */
+
+import type * as http from "node:http";
+import * as promClient from "prom-client";
+import tap from "tap";
+import * as clock from "../../src/kernel/clock.js";
+import * as executorContext from "../../src/requests/executorContext.js";
+import type * as types from "../../src/requests/types.js";
+
+void tap.test("an attempt that was not run, with no repeats left", async t => {
+    const doTest = async (kind: "shed" | "unreachable", remainingMs: number) => {
+        const time = clock.createVirtualClock();
+        const shared = new executorContext.ExecutorContext({
+            context: {
+                clock: time,
+                metrics: new promClient.Registry(),
+                settings: { retryRatio: 0, retrySlack: 0, retryWindowS: 10 },
+                loop: {
+                    scheduleOnce: (delayMs: number, task: () => void) => {
+                        time.addTime(delayMs);
+                        setImmediate(task);
+                        return () => {};
+                    },
+                },
+            },
+            pool: { latencies: { getQuantile: () => 100 } },
+            agent: {} as http.Agent,
+            countInstances: () => 1,
+        } as unknown as executorContext.CreateExecutorContextOptions);
+        const request = { route: { service: "desk", name: "r" }, deadlineAt: remainingMs, signal: new AbortController().signal };
+        return shared.waitForRetry(request as unknown as types.FleetRequest, kind);
+    };
+    t.equal(await doTest("shed", 1_000), false, "a refusal is a repeat: it has arrived");
+    t.equal(await doTest("unreachable", 1_000), true, "what never arrived is none");
+    t.equal(await doTest("unreachable", 100), false, "unless its time is over");
+});
