Tell loads once more after a change of relay

Cause, by reading: what an instance has told its relay is lost where the relay is killed or frozen before it hands it on. A lost failure costs the others one meeting with the upstream; a lost end of a request would have counted as a request under way at that upstream for up to 20 s, everywhere, and made it look busy.

Change: when an instance's relay changes, is passed by or is lost, it tells the loads of the last 3 s once more, 200 ms later, when what the former relay still held has been told.

Test: "a load whose end is lost with its relay does not count on", frozen and killed, both seen failing without the repetition.

--- a/src/standing/newsRelay.ts
+++ b/src/standing/newsRelay.ts
@@ -27,6 +27,10 @@
 const silenceMs = 250;
 /** For how long it is not used, in milliseconds. */
 const avoidedMs = 3_000;
+/** After a change of relay loads are told once more, when what the former one still held has been told, in milliseconds. */
+const repeatMs = 200;
+/** The loads that are told then are those of so long before, in milliseconds: of the silence and what led up to it. */
+const toldMs = 3_000;
 /** The instance that last told news of another domain is its relay for so long, in milliseconds. */
 const knownRelayMs = 1_500;
 /** Marks an origin that is a failure domain as a whole. */
@@ -39,6 +43,8 @@
     readonly mesh: peers.Mesh;
     /** Takes over what others have seen. */
     readonly applyItems: (items: readonly newsBuffer.NewsItem[]) => void;
+    /** Returns the requests that this instance has under way at an upstream. */
+    readonly getOwnInFlight: (upstream: string) => number;
     /** Returns the requests that the instances of the own failure domain have under way at an upstream. */
     readonly getDomainInFlight: (upstream: string) => number;
 }
@@ -67,6 +73,9 @@
     private readonly avoidedUntil = new Map<string, number>();
     /** The relay that was told something and has not told it to all since. */
     private awaited?: { readonly relay: string; readonly cancel: loop.Cancel; };
+    /** The relay that was last used, and when each upstream's news was last sent. */
+    private usedRelay?: string;
+    private readonly toldAt = new Map<string, number>();
     /** Who last told news of each other failure domain. */
     private readonly tellers = new Map<string, { readonly peerId: string; readonly at: number; }>();
     private readonly messages: promClient.Counter<"spread">;
@@ -85,12 +94,43 @@
      * @param item - The news, without its origin.
      */
     addOwn(item: Omit<newsBuffer.NewsItem, "origin">): void {
-        this.own.addItem({ ...item, origin: this.options.context.identity.instanceId });
+        const { context: { identity, clock } } = this.options;
+        this.toldAt.set(item.upstream, clock.getNow());
+        this.own.addItem({ ...item, origin: identity.instanceId });
+    }
+
+    /**
+     * Tells loads once more where the relay is lost that was told them.
+     * @param peerId - The instance that is no longer linked.
+     */
+    removePeer(peerId: string): void {
+        if (peerId === this.usedRelay) {
+            this.scheduleRepeat();
+        }
+    }
+
+    /** News on its way through a relay may be lost with it, and a load that is never corrected would count on. */
+    private scheduleRepeat(): void {
+        const { context: { loop: timers, clock, identity }, getOwnInFlight } = this.options;
+        timers.scheduleOnce(repeatMs, () => {
+            const now = clock.getNow();
+            for (const [upstream, at] of this.toldAt) {
+                if (now - at > toldMs) {
+                    this.toldAt.delete(upstream);
+                    continue;
+                }
+                this.own.addItem({ origin: identity.instanceId, upstream, inFlight: getOwnInFlight(upstream), counts: { good: 0, bad: 0, survived: 0 }, goodSentAt: -Infinity });
+            }
+        });
     }
 
     private sendOwn(items: readonly newsBuffer.NewsItem[]): void {
         const { context: { identity } } = this.options;
         const relay = this.chooseRelay(identity.failureDomain, [identity.instanceId]);
+        if (this.usedRelay !== undefined && this.usedRelay !== relay) {
+            this.scheduleRepeat();
+        }
+        this.usedRelay = relay;
         if (relay === undefined || relay === identity.instanceId) {
             this.publishItems(items);
             return;
@@ -109,6 +149,7 @@
             this.awaited = undefined;
             this.avoidedUntil.set(relay, clock.getNow() + avoidedMs);
             logger.writeInfo("news-relay-avoided", `${relay} has not handed on news within ${silenceMs} ms; another instance is used for ${avoidedMs} ms`, { peer: relay, silenceMs });
+            this.scheduleRepeat();
         });
         this.awaited = { relay, cancel };
     }
--- a/src/standing/standing.ts
+++ b/src/standing/standing.ts
@@ -62,6 +62,7 @@
             context: options.context,
             mesh: options.mesh,
             applyItems: items => this.applyItems(items),
+            getOwnInFlight: id => this.getIndex().get(id)?.getInFlight() ?? 0,
             getDomainInFlight: id => this.getDomainInFlight(id),
         });
         options.pool.addObserver({
@@ -207,6 +208,7 @@
         const { mesh, context: { identity } } = this.options;
         const upstreams = this.listUpstreams();
         this.table.removeOrigin(upstreams, peerId);
+        this.relay.removePeer(peerId);
         const domain = mesh.getMember(peerId)?.failureDomain;
         if (domain === undefined || domain === identity.failureDomain) {
             return;
--- a/test/harness/ports.ts
+++ b/test/harness/ports.ts
@@ -4,8 +4,8 @@
 
 /** Below the ports that the kernel gives to those who ask for any, so that no other test's process is given one of these. */
 const firstPort = 15_000;
-const portsPerProcess = 100;
-const processSlots = 170;
+const portsPerProcess = 200;
+const processSlots = 85;
 
 let used = 0;
 
--- a/test/standing/newsRelay.test.ts
+++ b/test/standing/newsRelay.test.ts
@@ -51,6 +51,8 @@
     readonly logs: string[];
     received: number;
     isSilent: boolean;
+    /** Nobody is linked to it. */
+    isLost: boolean;
     /** What it sends to this instance is lost. */
     unreached: string;
 }
@@ -86,7 +88,7 @@
             },
             mesh: {
                 setNoticeHandler: (_topic: string, handler: (from: string, body: unknown) => void) => handlers.set(id, handler),
-                listLinkedPeers: () => nodes.filter(known => known.id !== id).map(known => known.id),
+                listLinkedPeers: () => nodes.filter(known => known.id !== id && !known.isLost).map(known => known.id),
                 listMembers: () => nodes.map(known => ({ instanceId: known.id, failureDomain: known.domain })),
                 getMember: (peerId: string) => nodes.filter(known => known.id === peerId).map(known => ({ failureDomain: known.domain }))[0],
                 sendNotices: send,
@@ -95,9 +97,10 @@
                 applied.push(...items);
                 items.forEach(item => table.recordRemote(upstream, item.origin, item.inFlight, time.now));
             },
+            getOwnInFlight: () => upstream.attempts.size,
             getDomainInFlight: () => table.getNearInFlight(upstream),
         } as unknown as newsRelay.CreateNewsRelayOptions);
-        const node: Node = { id, domain, relay, applied, upstream, table, logs, received: 0, isSilent: false, unreached: "" };
+        const node: Node = { id, domain, relay, applied, upstream, table, logs, received: 0, isSilent: false, isLost: false, unreached: "" };
         nodes.push(node);
     }
     const countFailures = ({ applied }: Node) => applied.reduce((sum, { counts }) => sum + counts.bad, 0);
@@ -173,6 +176,37 @@
     });
 });
 
+void tap.test("a load whose end is lost with its relay does not count on", async t => {
+    const doTest = (name: string, disturb: (relay: Node, first: Node) => void) => {
+        const { time, nodes } = createFleet(12);
+        const north = nodes.filter(({ domain }) => domain === "north");
+        north.forEach(({ relay }) => relay.addOwn(load(0)));
+        time.addTime(100);
+        const relay = north.reduce((most, next) => next.received > most.received ? next : most);
+        const first = north.find(node => node !== relay)!;
+        const attempt = { route: "r", rankIndex: 0, startedAt: time.now };
+        first.upstream.attempts.add(attempt);
+        first.relay.addOwn(load(1));
+        time.addTime(400);
+        const others = nodes.filter(node => node !== relay && node !== first);
+        t.ok(others.every(({ table, upstream }) => table.getInFlight(upstream) === 1), `${name}: the load is known`);
+        first.upstream.attempts.delete(attempt);
+        first.relay.addOwn(load(0));
+        time.addTime(35);
+        disturb(relay, first);
+        time.addTime(1_000);
+        t.strictSame(others.map(({ table, upstream }) => table.getInFlight(upstream)), others.map(() => 0), `${name}: and so is its end`);
+    };
+    doTest("frozen", relay => {
+        relay.isSilent = true;
+    });
+    doTest("killed", (relay, first) => {
+        relay.isSilent = true;
+        relay.isLost = true;
+        first.relay.removePeer(relay.id);
+    });
+});
+
 void tap.test("what can't be read is left out", async t => {
     const { nodes, handlers } = createFleet(3);
     handlers.get("i0")!("i1", { parts: [{ origin: "i1", news: [["u1", -1]] }], spread: "none" });
