--- a/src/standing/newsRelay.ts
+++ b/src/standing/newsRelay.ts
@@ -109,16 +109,21 @@
         }
     }
 
+    /**
+     * Forgets which upstreams' loads were told long ago.
+     * @param now - The time, in monotonic milliseconds.
+     */
+    removeStale(now: number): void {
+        const old = [...this.toldAt].filter(([, at]) => now - at > toldMs);
+        old.forEach(([upstream]) => this.toldAt.delete(upstream));
+    }
+
     /** News on its way through a relay may be lost with it, and a load that is never corrected would count on. */
     private scheduleRepeat(): void {
         const { context: { loop: timers, clock, identity }, getOwnInFlight } = this.options;
         timers.scheduleOnce(repeatMs, () => {
-            const now = clock.getNow();
-            for (const [upstream, at] of this.toldAt) {
-                if (now - at > toldMs) {
-                    this.toldAt.delete(upstream);
-                    continue;
-                }
+            this.removeStale(clock.getNow());
+            for (const upstream of this.toldAt.keys()) {
                 this.own.addItem({ origin: identity.instanceId, upstream, inFlight: getOwnInFlight(upstream), counts: { good: 0, bad: 0, survived: 0 }, goodSentAt: -Infinity });
             }
         });
--- a/src/standing/standing.ts
+++ b/src/standing/standing.ts
@@ -80,7 +80,10 @@
     start(): void {
         const { context: { loop, clock } } = this.options;
         loop.scheduleRepeatedly(overdueLookMs, () => this.runLook());
-        loop.scheduleRepeatedly(staleLookMs, () => this.table.removeStale(this.listUpstreams(), clock.getNow()));
+        loop.scheduleRepeatedly(staleLookMs, () => {
+            this.table.removeStale(this.listUpstreams(), clock.getNow());
+            this.relay.removeStale(clock.getNow());
+        });
     }
 
     /**
