--- a/test/soak/callers.ts
+++ b/test/soak/callers.ts
@@ -19,7 +19,9 @@
 const stubbornFactor = 3;
 /** A caller waits at most this part of its deadline for what Retry-After asks. */
 const longestRetryAfterMs = deadlineMs / 3;
+/** The longest wait for a connection, in milliseconds; the platform's. */
 const connectTimeoutMs = 1_000;
+/** The length of a worker's answer, as the stand-in pads it. */
 const bodyBytes = 100;
 
 /** Options of a caller. */
--- a/test/soak/inflict.ts
+++ b/test/soak/inflict.ts
@@ -17,11 +17,17 @@
 const graceMs = 6_000;
 /** Of several instances that a fault meets, the part. */
 const somePart = 0.5;
+/** The part of its requests that a failing worker fails, and that a spoiling one spoils. */
 const failingPart = 0.9;
 const spoilPart = 0.3;
+/** How much longer a slow worker works. */
 const slowFactor = 5;
+/** What a slow store and a slow link add, in milliseconds; less than the time-out of a call. */
 const slowStoreMs = 400;
 const slowLinkMs = 150;
+/** The store's replies that are lost in one fault. */
+const lostReplies = 5;
+/** Milliseconds between two versions of a burst; shorter than a watch collects events. */
 const stormGapMs = 150;
 
 /** What a fault is done to. */
@@ -43,7 +49,7 @@
         addressReused: () => runOnWorker(options, { id: "another" }, { id: `w${getWorkerIndex(options)}` }),
         storeFails: () => runOnStore(options, { failure: how }),
         storeSlow: () => runOnStore(options, { delayMs: slowStoreMs }),
-        storeLosesReplies: () => runOnStore(options, { lostReplies: 5 }),
+        storeLosesReplies: () => runOnStore(options, { lostReplies }),
         storeForgets: () => runOnStore(options, { dropHistory: true, cutWatches: true }),
         storeRevokes: () => options.site.runAlone(`w${getWorkerIndex(options)}`, () => runRevocation(options)),
         storeCut: () => runOnLink(options, "storeLink"),
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -49,10 +49,12 @@
 
 /** The mean time between the beginnings of two faults, in milliseconds: shorter than a fault, so that some overlap. */
 const meanGapMs = 2_000;
+/** How long a fault lasts, in milliseconds; some outlast the time-outs of peers and of the store. */
 const shortestMs = 500;
 const longestMs = 5_000;
 /** The load runs without faults for so long, in milliseconds. */
 const quietMs = 2_000;
+/** Targets are numbers below this one, of which each fault takes the remainder that it needs. */
 const largestTarget = 1_000;
 
 /** Creates a generator of numbers from 0 to 1 (mulberry32). */
