--- a/src/upstreamHealth/upstreamHealth.ts
+++ b/src/upstreamHealth/upstreamHealth.ts
@@ -8,6 +8,7 @@
 import * as chooseByExpectedCost from "./chooseByExpectedCost.js";
 import type * as healthUpdateBuffer from "./healthUpdateBuffer.js";
 import * as healthUpdateRelay from "./healthUpdateRelay.js";
+import * as unusedUpstreamLog from "./unusedUpstreamLog.js";
 import * as upstreamHealthTable from "./upstreamHealthTable.js";
 
 /** An attempt that is still in flight after this time counts as `survived`. */
@@ -20,7 +21,7 @@
 const responseSizeWeight = 0.1;
 /** The assumed median latency of a route without history, as a fraction of its target latency. */
 const defaultLatencyFraction = 0.3;
-/** The interval between two removals of expired reports from other instances. */
+/** The interval between two removals of expired reports from other instances, and between two looks at unused upstreams. */
 const expiryCheckIntervalMs = 1_000;
 const zeroCounts: Readonly<Record<healthEstimate.Observation, number>> = { good: 0, bad: 0, survived: 0 };
 
@@ -53,6 +54,7 @@
     /** The health and load of upstreams as observed by the fleet. */
     readonly table = new upstreamHealthTable.UpstreamHealthTable();
     private readonly relay: healthUpdateRelay.HealthUpdateRelay;
+    private readonly unusedLog: unusedUpstreamLog.UnusedUpstreamLog;
     private upstreamIndex: { readonly pools: readonly (readonly pool.Upstream[])[]; readonly byId: ReadonlyMap<string, pool.Upstream>; } = { pools: [], byId: new Map() };
     private readonly recordedAsOverdue = new WeakSet<pool.AttemptRecord>();
     /** The moving average of each route's response sizes. */
@@ -68,6 +70,7 @@
             getLocalInFlight: id => this.getUpstreamIndex().get(id)?.getInFlight() ?? 0,
             getDomainInFlight: id => this.getDomainInFlight(id),
         });
+        this.unusedLog = new unusedUpstreamLog.UnusedUpstreamLog({ context: options.context, pool: options.pool, table: this.table });
         options.pool.addObserver({
             onStart: (upstream, attempt) => this.recordStart(upstream, attempt),
             onEnd: (upstream, attempt, outcome) => this.recordEnd(upstream, attempt, outcome),
@@ -86,6 +89,7 @@
         loop.scheduleRepeatedly(expiryCheckIntervalMs, () => {
             this.table.removeExpiredLoads(this.listUpstreams(), clock.getNow());
             this.relay.removeExpiredSendTimes(clock.getNow());
+            this.unusedLog.writeUnusedUpstreams(clock.getNow());
         });
     }
 
@@ -142,6 +146,9 @@
     private recordEnd(upstream: pool.Upstream, attempt: pool.AttemptRecord, outcome: pool.AttemptOutcome): void {
         const isShedWithFreeSlots = outcome === "shed" && this.table.getFleetInFlight(upstream) < upstream.getSlots();
         const isBad = isShedWithFreeSlots || outcome === "failed" || outcome === "timedOut" || outcome === "unreachable";
+        if (isBad) {
+            this.unusedLog.recordFailure(upstream.service);
+        }
         if (isBad && !this.recordedAsOverdue.has(attempt)) {
             this.recordOutcome(upstream, "bad", attempt.startedAt);
         }
--- a/src/upstreamHealth/upstreamHealthTable.ts
+++ b/src/upstreamHealth/upstreamHealthTable.ts
@@ -43,6 +43,11 @@
         return local.reduce((sum, [, { inFlight }]) => sum + inFlight, upstream.getInFlight());
     }
 
+    /** Lists the in-flight requests at an upstream by origin, except those of this instance. */
+    listRemoteLoads(upstream: pool.Upstream): readonly (readonly [origin: string, inFlight: number])[] {
+        return [...this.getState(upstream).remoteLoads].map(([origin, { inFlight }]) => [origin, inFlight]);
+    }
+
     /** Returns when any instance last sent a request to the upstream; -Infinity if none is known. */
     getLastSentAt(upstream: pool.Upstream): number {
         return this.getState(upstream).lastSentAt;
--- a/test/upstreamHealth/healthUpdateRelay.test.ts
+++ b/test/upstreamHealth/healthUpdateRelay.test.ts
@@ -2,45 +2,16 @@
 
 import * as promClient from "prom-client";
 import tap from "tap";
-import type * as loop from "../../src/kernel/loop.js";
 import * as pool from "../../src/pool/index.js";
 import type * as healthUpdateBuffer from "../../src/upstreamHealth/healthUpdateBuffer.js";
 import * as healthUpdateRelay from "../../src/upstreamHealth/healthUpdateRelay.js";
 import * as upstreamHealth from "../../src/upstreamHealth/index.js";
+import * as virtualTime from "../harness/virtualTime.js";
 
 const domains = ["north", "south", "east"];
 const linkMs = 1;
 const zeroCounts = { good: 0, bad: 0, survived: 0 };
 
-/** A clock with timers that advances only on demand. */
-class VirtualTime {
-    now = 1_000;
-    private tasks: { readonly at: number; readonly run: () => void; }[] = [];
-
-    readonly scheduleOnce = (delayMs: number, task: () => void): loop.Cancel => {
-        const entry = { at: this.now + delayMs, run: task };
-        this.tasks.push(entry);
-        return () => {
-            this.tasks = this.tasks.filter(scheduled => scheduled !== entry);
-        };
-    };
-
-    /** Advances the clock and runs the timers that become due. */
-    addTime(durationMs: number): void {
-        const until = this.now + durationMs;
-        while (true) {
-            const next = this.tasks.filter(({ at }) => at <= until).sort((a, b) => a.at - b.at)[0];
-            if (next === undefined) {
-                break;
-            }
-            this.tasks = this.tasks.filter(scheduled => scheduled !== next);
-            this.now = next.at;
-            next.run();
-        }
-        this.now = until;
-    }
-}
-
 interface Node {
     readonly id: string;
     readonly domain: string;
@@ -59,7 +30,7 @@
 
 /** Creates a fleet in which every instance is linked to all others. */
 function createFleet(count: number) {
-    const time = new VirtualTime();
+    const time = new virtualTime.VirtualTime();
     const nodes: Node[] = [];
     const handlers = new Map<string, (from: string, body: unknown) => void>();
     for (let index = 0; index < count; index += 1) {
