--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -103,6 +103,12 @@
                 finish({ kind: "lost", reason: "the upstream has sent stray bytes, so this response on a reused connection may belong to another request" }, true);
                 return;
             }
+            const mismatchReason = getEchoMismatchReason(response, service, request);
+            if (mismatchReason !== undefined) {
+                response.on("error", () => {});
+                finish({ kind: "lost", reason: mismatchReason }, true);
+                return;
+            }
             if (response.headers[service.drainingHeader] !== undefined) {
                 options.onLeaving("its response announces that it is draining");
             }
@@ -116,10 +122,10 @@
                 finish({ kind: "shed", reason: rejectionReason }, false);
                 return;
             }
-            const mismatchReason = getMismatchReason(response, service, request);
-            if (mismatchReason !== undefined) {
+            const unsealedReason = getUnsealedReason(response, service);
+            if (unsealedReason !== undefined) {
                 response.on("error", () => {});
-                finish({ kind: "lost", reason: mismatchReason }, true);
+                finish({ kind: "lost", reason: unsealedReason }, true);
                 return;
             }
             slot.attempt.respondedAt = options.context.clock.getNow();
@@ -143,20 +149,20 @@
     return hasShedStatus && response.headers[shed.header] !== undefined ? `status ${response.statusCode} with ${shed.header}` : undefined;
 }
 
-/** Returns why a response cannot be the valid response to this request; undefined if it can. */
-function getMismatchReason(response: http.IncomingMessage, { echoHeader, sealHeader }: configuration.ServiceDefinition, request: types.RoutedRequest): string | undefined {
-    if (echoHeader !== undefined) {
-        const expected = headers.getHeaderValues(request.rawHeaders, echoHeader)[0];
-        const echoed = response.headers[echoHeader];
-        if (expected !== undefined && echoed !== expected) {
-            return `the response header ${echoHeader} is ${JSON.stringify(echoed)}, expected ${JSON.stringify(expected)}`;
-        }
+/** Returns why a response belongs to another request; undefined if it may belong to this one. */
+function getEchoMismatchReason(response: http.IncomingMessage, { echoHeader }: configuration.ServiceDefinition, request: types.RoutedRequest): string | undefined {
+    if (echoHeader === undefined) {
+        return undefined;
     }
+    const expected = headers.getHeaderValues(request.rawHeaders, echoHeader)[0];
+    const echoed = response.headers[echoHeader];
+    return expected === undefined || echoed === expected ? undefined : `the response header ${echoHeader} is ${JSON.stringify(echoed)}, expected ${JSON.stringify(expected)}`;
+}
+
+/** Returns why a success did not come from the service; undefined if it did, or if the response is no success. */
+function getUnsealedReason(response: http.IncomingMessage, { sealHeader }: configuration.ServiceDefinition): string | undefined {
     const isSuccess = (response.statusCode ?? 0) < 300;
-    if (sealHeader !== undefined && isSuccess && response.headers[sealHeader] === undefined) {
-        return `a successful response lacks the header ${sealHeader}`;
-    }
-    return undefined;
+    return sealHeader !== undefined && isSuccess && response.headers[sealHeader] === undefined ? `a successful response lacks the header ${sealHeader}` : undefined;
 }
 
 function createRequest(options: SendAttemptOptions, progress: Progress): http.ClientRequest {
--- a/test/integration.platform.test.ts
+++ b/test/integration.platform.test.ts
@@ -52,13 +52,13 @@
         t.test(spoiled, async t => {
             await worker.setBehaviour({ spoiled, spoilPart, slots: 50 });
             const ids = Array.from({ length: 200 }, (_, index) => `${spoiled}-${index}`);
-            const results: { readonly id: string; readonly response: processes.HttpResponse | undefined; }[] = [];
+            const results: { readonly id: string; readonly isOrder: boolean; readonly response: processes.HttpResponse | undefined; }[] = [];
             const queue = [...ids];
             await Promise.all(Array.from({ length: 4 }, async () => {
                 for (let id = queue.shift(); id !== undefined; id = queue.shift()) {
                     const isOrder = results.length % 2 === 0;
                     const response = await instance.send(isOrder ? "/order/1" : "/look/1", { agent, requestId: id, ...(isOrder ? { method: "POST", body: "issue" } : {}) }).catch(() => undefined);
-                    results.push({ id, response });
+                    results.push({ id, isOrder, response });
                 }
             }));
             const successes = results.flatMap(({ id, response }) => response !== undefined && response.status === 200 && response.isComplete ? [{ id, body: response.body.toString(), seal: response.headers["response-seal"] }] : []);
@@ -67,6 +67,7 @@
             const { runs } = await worker.getState<WorkerState>();
             const notExecutedIds = results.filter(({ response }) => response?.status === 503 || response?.status === 429).map(({ id }) => id);
             t.strictSame(notExecutedIds.filter(id => (runs[id] ?? 0) > 0), [], `none of the ${notExecutedIds.length} requests answered 503 or 429 was executed`);
+            t.strictSame(results.filter(({ id, isOrder }) => isOrder && (runs[id] ?? 0) > 1).map(({ id }) => id), [], "no order was executed twice");
             await worker.setBehaviour({ spoiled: "none", spoilPart: 0, slots: 3 });
             t.equal((await instance.send("/look/1")).status, 200, "the worker gets requests again");
         });
@@ -78,6 +79,7 @@
     await doTest("garbage", 0.5);
     await doTest("wrongId", 0.5);
     await doTest("unsealed", 0.5);
+    await doTest("repeatedRefusal", 0.5);
 });
 
 void tap.test("several workers, two instances", async t => {
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -18,7 +18,7 @@
     /** The fraction of responses that are faulty. */
     spoilPart: number;
     /** The fault of these responses, such as a truncated body, extra bytes, no framing or a missing seal. */
-    spoiled: "none" | "cut" | "extra" | "extraLate" | "unframed" | "unframedReset" | "stall" | "garbage" | "wrongId" | "unsealed";
+    spoiled: "none" | "cut" | "extra" | "extraLate" | "unframed" | "unframedReset" | "stall" | "garbage" | "wrongId" | "unsealed" | "repeatedRefusal";
     bodyBytes: number;
 }
 
@@ -52,6 +52,7 @@
             stall: () => socket.write(completeResponse.slice(0, -20)),
             garbage: () => socket.end("\u0001\u0002 no answer at all\r\n\r\n"),
             wrongId: () => socket.write(otherResponse),
+            repeatedRefusal: () => socket.write("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: another\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
             unsealed: () => socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nContent-Length: ${body.length}\r\n\r\n${body}`),
         };
         writers[behaviour.spoiled]();
@@ -72,12 +73,12 @@
             counts.arrived += 1;
             if (request.headers["expect-instance"] !== undefined && request.headers["expect-instance"] !== behaviour.id) {
                 counts.misdirected += 1;
-                response.writeHead(421, { "instance-id": behaviour.id }).end();
+                response.writeHead(421, { "request-id": requestId, "instance-id": behaviour.id }).end();
                 return;
             }
             if (busy >= behaviour.slots + behaviour.queue) {
                 counts.refused += 1;
-                response.writeHead(503, { "not-executed": "1" }).end();
+                response.writeHead(503, { "request-id": requestId, "not-executed": "1" }).end();
                 return;
             }
             counts.ran += 1;
