--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -216,7 +216,7 @@
     return mayHaveBody ? ["Content-Length", String(request.body.length)] : [];
 }
 
-/** Calls `getWaitMs` repeatedly until the attempt times out. Returns a function that stops the checks. */
+/** Calls `getWaitMs` repeatedly until the attempt times out, first after the current task. Returns a function that stops the checks. */
 function startTimeoutChecks(options: SendAttemptOptions, onTimeout: () => void): () => void {
     const { loop, clock } = options.context;
     let cancel = () => {};
@@ -228,6 +228,6 @@
         }
         cancel = loop.scheduleOnce(Math.max(1, waitMs), checkTimeout);
     };
-    checkTimeout();
+    queueMicrotask(checkTimeout);
     return () => cancel();
 }
--- a/src/requests/runWithRetries.ts
+++ b/src/requests/runWithRetries.ts
@@ -77,6 +77,10 @@
         if (slot.isErr()) {
             return { kind: "error", error: createSlotError(slot.error, progress.sentAttempts) };
         }
+        if (executor.context.clock.getNow() >= request.deadlineAt) {
+            slot.value.release("cancelled");
+            return { kind: "error", error: createSlotError(errors.createError("deadlineBeforeSend"), progress.sentAttempts) };
+        }
         progress.attempts += 1;
         const upstream = slot.value.upstream;
         const definition = executor.getServiceDefinition(service);
--- a/test/requests/attempt.test.ts
+++ b/test/requests/attempt.test.ts
@@ -9,6 +9,8 @@
 import * as clock from "../../src/kernel/clock.js";
 import * as loop from "../../src/kernel/loop.js";
 import * as attempt from "../../src/requests/attempt.js";
+import * as processes from "../harness/processes.js";
+import * as rawUpstream from "../harness/rawUpstream.js";
 
 const deadlineMs = 150;
 const settleMs = 200;
@@ -59,3 +61,22 @@
     await doTest("resumed after the deadline", 300, { kind: "unreachable", arrived: 0 });
     await doTest("resumed after the deadline and the connection timeout", 700, { kind: "unreachable", arrived: 0 });
 });
+
+/**
+ * Guards against an exception, a connection and a slot that are left over. A body that breaks off just before the deadline
+ * leads to a retry that has no time left.
+ */
+void tap.test("an attempt that begins at its deadline times out without being sent", async t => {
+    const upstream = await rawUpstream.startRawUpstream();
+    t.teardown(() => upstream.stop());
+    let arrived = 0;
+    upstream.setAnswer(() => {
+        arrived += 1;
+    });
+    for (const isPooled of [true, false]) {
+        const result = await upstream.sendAttempt({ requestId: "late", isPooled, deadlineMs: 0 });
+        t.equal(result.kind, "timedOut");
+    }
+    await processes.waitFor("no connection is left", () => upstream.countOpenConnections() === 0);
+    t.equal(arrived, 0);
+});
