--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -7,6 +7,7 @@
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import * as settings from "../settings/index.js";
+import * as drainBody from "./drainBody.js";
 import * as responseIntegrity from "./responseIntegrity.js";
 import * as headers from "./headers.js";
 import type * as types from "./types.js";
@@ -15,6 +16,9 @@
 /** Connection timeout. Upstreams are a few milliseconds away, and a host without power never answers a connection attempt. */
 const connectTimeoutMs = 400;
 
+/** The maximum size of all that an upstream sends up to the end of a response's headers, interim responses and blank lines included. */
+const maximumHeadBytes = 65_536;
+
 const misdirectedReason = "another upstream now has its address";
 
 /** The result of an attempt, up to the response headers. */
@@ -95,6 +99,7 @@
             finish(progress.wasSent ? { kind: "lost", reason } : { kind: "unreachable", reason }, true);
         });
         sent.on("close", () => finish({ kind: "lost", reason: "the connection closed" }, false));
+        watchHeadBytes(sent, () => finish({ kind: "lost", reason: `no response within the first ${maximumHeadBytes} bytes` }, true));
         sent.on("response", response => {
             responseIntegrity.watchResponse(sent, response);
             options.agent?.watchResponse(response, slot.upstream);
@@ -117,8 +122,7 @@
                 options.onLeaving(misdirectedReason);
             }
             if (rejectionReason !== undefined) {
-                response.on("error", () => {});
-                response.resume();
+                drainBody.drainBody(response, options.context.loop);
                 finish({ kind: "shed", reason: rejectionReason }, false);
                 return;
             }
@@ -211,6 +215,24 @@
     return sent;
 }
 
+/** Node limits the headers of each response, but neither the number of interim responses nor the blank lines before a response. */
+function watchHeadBytes(sent: http.ClientRequest, onExceeded: () => void): void {
+    sent.once("socket", (socket: net.Socket) => {
+        let bytes = 0;
+        const onData = (data: Buffer) => {
+            bytes += data.length;
+            if (bytes > maximumHeadBytes) {
+                onExceeded();
+            }
+        };
+        // Node's own listener comes first, so the data that completes the headers is not counted.
+        const stop = () => socket.off("data", onData);
+        socket.on("data", onData);
+        sent.once("response", stop);
+        sent.once("close", stop);
+    });
+}
+
 function createBodyHeaders(request: types.RoutedRequest): readonly string[] {
     const mayHaveBody = request.body.length > 0 || !["GET", "HEAD", "DELETE"].includes(request.method);
     return mayHaveBody ? ["Content-Length", String(request.body.length)] : [];
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -18,10 +18,23 @@
     /** The fraction of responses that are faulty. */
     spoilPart: number;
     /** The fault of these responses, such as a truncated body, extra bytes, no framing or a missing seal. */
-    spoiled: "none" | "cut" | "extra" | "extraLate" | "unframed" | "unframedReset" | "stall" | "garbage" | "wrongId" | "unsealed" | "repeatedRefusal";
+    spoiled: "none" | "cut" | "extra" | "extraLate" | "unframed" | "unframedReset" | "stall" | "garbage" | "wrongId" | "unsealed" | "repeatedRefusal" | "cutHead" | keyof typeof endlessResponses;
     bodyBytes: number;
 }
 
+/** Responses that go on until the caller closes the connection: what comes first, and what is repeated. */
+const endlessResponses = {
+    endlessBlankLines: { first: () => "", repeated: "\r\n".repeat(4_096) },
+    endlessInterimResponses: { first: () => "", repeated: "HTTP/1.1 102 Processing\r\n\r\n".repeat(300) },
+    endlessHead: { first: (head: string) => head, repeated: `X-Filler: ${"x".repeat(500)}\r\n`.repeat(16) },
+    endlessBody: { first: (head: string) => `${head}Connection: close\r\n\r\n`, repeated: "x".repeat(8_192) },
+    endlessChunks: { first: (head: string) => `${head}Transfer-Encoding: chunked\r\n\r\n`, repeated: `2000\r\n${"x".repeat(8_192)}\r\n` },
+    endlessTrickle: { first: (head: string) => `${head}Transfer-Encoding: chunked\r\n\r\n`, repeated: "1\r\nx\r\n" },
+    endlessRefusal: { first: (head: string) => `${head.replace("200 OK", "503 Service Unavailable")}Not-Executed: 1\r\nConnection: close\r\n\r\n`, repeated: "x".repeat(8_192) },
+} as const;
+/** The pause between two pieces of an endless response. */
+const endlessPauseMs = 2;
+
 /** Starts a worker; returns its ports. */
 export async function startWorker(id: string) {
     const behaviour: WorkerBehaviour = { id, slots: 3, queue: 12, workMs: 10, failPart: 0, failure: "error", spoilPart: 0, spoiled: "none", bodyBytes: 100 };
@@ -29,6 +42,7 @@
     const deadlines: Record<string, number> = {};
     const counts = { arrived: 0, ran: 0, refused: 0, misdirected: 0, cancelled: 0, connections: 0 };
     let busy = 0;
+    let openConnections = 0;
 
     const createBody = (requestId: string) => `${requestId}:`.padEnd(behaviour.bodyBytes, "x");
     const writeFaultyResponse = (socket: net.Socket, requestId: string) => {
@@ -36,9 +50,23 @@
         const formatHead = (name: string) => `HTTP/1.1 200 OK\r\nRequest-Id: ${name}\r\nResponse-Seal: seal-${behaviour.id}\r\n`;
         const completeResponse = `${formatHead(requestId)}Content-Length: ${body.length}\r\n\r\n${body}`;
         const otherResponse = `${formatHead("another")}Content-Length: 4\r\n\r\nlate`;
+        const writeEndless = (name: keyof typeof endlessResponses) => {
+            const { first, repeated } = endlessResponses[name];
+            socket.write(first(formatHead(requestId)));
+            const timer = setInterval(() => {
+                if (socket.writableLength === 0) {
+                    socket.write(repeated);
+                }
+            }, endlessPauseMs);
+            socket.once("close", () => clearInterval(timer));
+        };
+        const endlessNames = Object.keys(endlessResponses) as (keyof typeof endlessResponses)[];
+        const endlessWriters = Object.fromEntries(endlessNames.map(name => [name, () => writeEndless(name)])) as Record<keyof typeof endlessResponses, () => void>;
         const writers: Readonly<Record<WorkerBehaviour["spoiled"], () => void>> = {
+            ...endlessWriters,
             none: () => socket.write(completeResponse),
             cut: () => socket.end(completeResponse.slice(0, -20)),
+            cutHead: () => socket.end(completeResponse.slice(0, Math.floor(Math.random() * completeResponse.indexOf(body)))),
             extra: () => socket.write(completeResponse + otherResponse),
             extraLate: () => {
                 socket.write(completeResponse);
@@ -108,10 +136,14 @@
             });
         });
     });
-    server.on("connection", () => {
+    server.on("connection", socket => {
         counts.connections += 1;
+        openConnections += 1;
+        socket.on("close", () => {
+            openConnections -= 1;
+        });
     });
     const port = await control.startListening(server);
-    const controlPort = await control.startControlServer({ getState: () => ({ runs, deadlines, counts, busy }), setBehaviour: change => void Object.assign(behaviour, change) });
+    const controlPort = await control.startControlServer({ getState: () => ({ runs, deadlines, counts, busy, openConnections }), setBehaviour: change => void Object.assign(behaviour, change) });
     return { port, controlPort };
 }
