--- a/src/orders/forwardOrder.ts
+++ b/src/orders/forwardOrder.ts
@@ -45,7 +45,7 @@
             cancelConnect();
         });
         sent.on("response", response => {
-            void requests.readResponse({ context, response, maximumBytes: currentSettings.requestBodyBytes }).then(read => {
+            void requests.readResponse({ context, response, maximumBytes: currentSettings.requestBodyBytes, readUntil: request.deadlineAt + responseGraceMs }).then(read => {
                 if (read.isErr()) {
                     reject(`its response could not be read: ${read.error}`);
                     return;
--- a/src/requests/readResponse.ts
+++ b/src/requests/readResponse.ts
@@ -7,8 +7,8 @@
 import * as headers from "./headers.js";
 import type * as types from "./types.js";
 
-/** Why a response could not be read: it was truncated or stalled, or its body exceeds the limit. */
-export type ReadFailure = "broken" | "tooLarge";
+/** Why a response could not be read: it was truncated or stalled, its body exceeds the limit, or it did not end in time. */
+export type ReadFailure = "broken" | "tooLarge" | "late";
 
 /** Options of reading a response. */
 export interface ReadResponseOptions {
@@ -16,17 +16,20 @@
     readonly response: http.IncomingMessage;
     /** The size limit of the body. */
     readonly maximumBytes: number;
+    /** When the body must have ended, in monotonic milliseconds. */
+    readonly readUntil: number;
 }
 
 /** Reads a response body until its end. A pause longer than the setting `bodyIdleTimeoutMs` counts as broken. */
 export function readResponse(options: ReadResponseOptions): Promise<Result<types.BufferedResponse, ReadFailure>> {
-    const { response, maximumBytes, context: { loop, settings } } = options;
+    const { response, maximumBytes, readUntil, context: { clock, loop, settings } } = options;
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
         let bytes = 0;
         let cancelIdleTimer = () => {};
         const finish = (result: Result<types.BufferedResponse, ReadFailure>) => {
             cancelIdleTimer();
+            cancelTimeLimit();
             if (result.isErr()) {
                 response.destroy();
             }
@@ -36,6 +39,7 @@
             cancelIdleTimer();
             cancelIdleTimer = loop.scheduleOnce(settings.bodyIdleTimeoutMs, () => finish(err("broken")));
         };
+        const cancelTimeLimit = loop.scheduleOnce(Math.max(0, readUntil - clock.getNow()), () => finish(err("late")));
         response.on("error", () => finish(err("broken")));
         response.on("close", () => finish(err("broken")));
         response.on("data", (chunk: Buffer) => {
--- a/src/requests/runAtMostOnce.ts
+++ b/src/requests/runAtMostOnce.ts
@@ -50,6 +50,7 @@
         slot.release("cancelled");
         return { kind: "error", error: errors.createError("deadlineBeforeSend"), attempts };
     }
+    const waitUntil = request.deadlineAt + (request.isOutcomeKept ? outcomeGraceMs : 0);
     const result = await executor.sendAttempt({
         context: executor.context,
         slot,
@@ -59,7 +60,7 @@
         signal: new AbortController().signal,
         onLeaving: reason => executor.leavingUpstreams.addUpstream(slot.upstream, reason),
         getWaitMs: () => {
-            const remainingMs = request.deadlineAt + (request.isOutcomeKept ? outcomeGraceMs : 0) - clock.getNow();
+            const remainingMs = waitUntil - clock.getNow();
             return remainingMs <= 0 ? "timedOut" : remainingMs;
         },
     });
@@ -84,10 +85,10 @@
             return { kind: "error", error: errors.createError("deadlineAfterSend"), attempts };
         })
         .with({ kind: "answered" }, async ({ response }): Promise<StepResult> => {
-            const read = await readResponse.readResponse({ context: executor.context, response, maximumBytes: executor.context.settings.requestBodyBytes });
+            const read = await readResponse.readResponse({ context: executor.context, response, maximumBytes: executor.context.settings.requestBodyBytes, readUntil: waitUntil });
             if (read.isErr()) {
-                release("failed");
-                return { kind: "error", error: createReadError(read.error), attempts };
+                release(read.error === "late" ? "timedOut" : "failed");
+                return { kind: "error", error: createReadError(read.error, response.statusCode ?? 0), attempts };
             }
             const isServerError = read.value.status >= 500;
             release(isServerError ? "failed" : "answered");
@@ -97,9 +98,11 @@
         .exhaustive();
 }
 
-function createReadError(failure: readResponse.ReadFailure): errors.FleetError {
-    return match(failure)
+function createReadError(failure: readResponse.ReadFailure, status: number): errors.FleetError {
+    // A server error does not say whether the order was executed, whatever the size of its body.
+    return match(failure === "tooLarge" && status >= 500 ? "broken" : failure)
         .with("broken", () => errors.createError("answerLost", "the upstream responded, but the response body broke off"))
+        .with("late", () => errors.createError("deadlineAfterSend", "the upstream responded, but the response body did not end before the deadline"))
         .with("tooLarge", () => errors.createError("orderAnswerNotKept", "the upstream responded, but the response body is larger than an instance may buffer"))
         .exhaustive();
 }
--- a/test/integration.endlessBytes.test.ts
+++ b/test/integration.endlessBytes.test.ts
@@ -76,6 +76,7 @@
     await doTest("endlessHead");
     await doTest("endlessBody");
     await doTest("endlessChunks");
+    await doTest("endlessTrickle");
     await doTest("endlessRefusal");
 
     await worker.setBehaviour({ spoiled: "none", spoilPart: 0, slots: 3 });
