--- a/src/callers/requestLog.ts
+++ b/src/callers/requestLog.ts
@@ -1,5 +1,6 @@
 /** Writes log lines for finished and rejected requests, with the data that explains their outcome. */
 
+import { match } from "ts-pattern";
 import type * as context from "../kernel/context.js";
 import type * as errors from "../kernel/errors.js";
 import type * as requests from "../requests/index.js";
@@ -38,8 +39,8 @@
      */
     writeCompletedRequest(request: CompletedRequest): void {
         const { logger } = this.context;
-        const isBodyComplete = request.body === "whole" || request.body === "none";
-        const isSuccessful = request.error === undefined && request.status < 500 && isBodyComplete;
+        const cutReason = getCutReason(request.body);
+        const isSuccessful = request.error === undefined && request.status < 500 && cutReason === undefined;
         if (isSuccessful) {
             this.successCount += 1;
             if (this.successCount % successSamplingInterval !== 0) {
@@ -52,8 +53,8 @@
             logger.writeInfo("request-answered", `the request was answered ${request.status}`, values);
             return;
         }
-        if (!isBodyComplete) {
-            logger.writeWarning("answer-cut", request.body === "callerGone" ? "the caller disconnected before the response was complete" : "the upstream's answer broke off; the response to the caller is incomplete", values);
+        if (cutReason !== undefined) {
+            logger.writeWarning("answer-cut", cutReason, values);
             return;
         }
         logger.writeWarning(error === undefined ? "request-failed-upstream" : "request-refused", `the request was answered ${request.status}`, values);
@@ -69,3 +70,13 @@
         this.context.logger.writeWarning("request-refused", "the request was rejected before admission", { requestId, kind: error.kind, reason: error.message, configurationVersion });
     }
 }
+
+/** Returns why a response was not relayed completely; undefined if it was. */
+function getCutReason(body: CompletedRequest["body"]): string | undefined {
+    return match(body)
+        .with("whole", "none", () => undefined)
+        .with("callerGone", () => "the caller disconnected before the response was complete")
+        .with("tooLarge", () => "the upstream's answer exceeded unsizedBodyBytes; the response to the caller is incomplete")
+        .with("broken", "unstarted", () => "the upstream's answer broke off; the response to the caller is incomplete")
+        .exhaustive();
+}
--- a/src/requests/relayBody.ts
+++ b/src/requests/relayBody.ts
@@ -18,6 +18,8 @@
     | { readonly kind: "unstarted"; }
     /** The upstream's response broke off and could not be continued. */
     | { readonly kind: "broken"; readonly bytes: number; }
+    /** A body of undeclared length exceeded the setting `unsizedBodyBytes`. */
+    | { readonly kind: "tooLarge"; readonly bytes: number; }
     /** The caller closed its connection. */
     | { readonly kind: "callerGone"; readonly bytes: number; };
 
@@ -41,7 +43,7 @@
 }
 
 /** How the body of one upstream response ended. */
-type PartResult = "ended" | "broken" | "callerGone";
+type PartResult = "ended" | "broken" | "tooLarge" | "callerGone";
 
 /** Writes a body to the caller and buffers its first bytes. */
 class BufferingWriter {
@@ -86,17 +88,23 @@
  * @remarks A broken body ends with the caller's connection destroyed, so that the caller cannot take it for complete.
  */
 export async function relayBody(options: RelayBodyOptions): Promise<RelayResult> {
-    const { caller, resumable } = options;
+    const { caller, resumable, context: { settings } } = options;
     const writer = new BufferingWriter(options);
+    const maximumBytes = options.response.headers["content-length"] === undefined ? settings.unsizedBodyBytes : Infinity;
     let bytes = 0;
     let part: http.IncomingMessage | undefined = options.response;
     while (part !== undefined) {
         const result = await relayPart(options, writer, part, count => {
             bytes += count;
+            return bytes <= maximumBytes;
         });
         if (result === "callerGone") {
             return { kind: "callerGone", bytes };
         }
+        if (result === "tooLarge" && !writer.isBuffering()) {
+            caller.destroy();
+            return { kind: "tooLarge", bytes };
+        }
         const isComplete = resumable === undefined ? result === "ended" : bytes === resumable.length;
         if (isComplete) {
             writer.writeBuffered();
@@ -112,8 +120,8 @@
     return { kind: "broken", bytes };
 }
 
-/** Relays the body of one upstream response: the original one or a continuation. */
-function relayPart(options: RelayBodyOptions, writer: BufferingWriter, part: http.IncomingMessage, onBytes: (count: number) => void): Promise<PartResult> {
+/** Relays the body of one upstream response: the original one or a continuation. `onBytes` returns whether the body may go on. */
+function relayPart(options: RelayBodyOptions, writer: BufferingWriter, part: http.IncomingMessage, onBytes: (count: number) => boolean): Promise<PartResult> {
     const { caller, context: { loop, settings } } = options;
     const idleMs = options.resumable === undefined ? settings.bodyIdleTimeoutMs : Math.min(resumableIdleTimeoutMs, settings.bodyIdleTimeoutMs);
     return new Promise(resolve => {
@@ -141,7 +149,10 @@
         };
         const onCallerClose = () => finish("callerGone");
         const onData = (chunk: Buffer) => {
-            onBytes(chunk.length);
+            if (!onBytes(chunk.length)) {
+                finish("tooLarge");
+                return;
+            }
             if (writer.write(chunk)) {
                 startIdleTimer();
                 return;
--- a/src/requests/runWithRetries.ts
+++ b/src/requests/runWithRetries.ts
@@ -256,7 +256,7 @@
 function getFinalOutcome(kind: relayBody.RelayResult["kind"], status: number): pool.AttemptOutcome {
     return match(kind)
         .with("whole", (): pool.AttemptOutcome => status < 500 ? "answered" : "failed")
-        .with("broken", "unstarted", (): pool.AttemptOutcome => "failed")
+        .with("broken", "tooLarge", "unstarted", (): pool.AttemptOutcome => "failed")
         .with("callerGone", (): pool.AttemptOutcome => "cancelled")
         .exhaustive();
 }
--- a/src/settings/serveSettings.ts
+++ b/src/settings/serveSettings.ts
@@ -67,6 +67,7 @@
     bodyIdleTimeoutMs: createIntegerSchema(100, 600_000, 30_000).describe("The longest pause within a body, in milliseconds; a pause that the reader causes does not count."),
     requestBodyBytes: createIntegerSchema(0, 268_435_456, 8_388_608).describe("The largest request body, in bytes."),
     requestBytesHeld: createIntegerSchema(0, 4_294_967_296, 268_435_456).describe("The most bytes of request bodies held at once."),
+    unsizedBodyBytes: createIntegerSchema(1_024, 1_099_511_627_776, 1_073_741_824).describe("The largest response body without a Content-Length, in bytes; a longer one is cut, since an upstream in trouble may send bytes without end."),
     callerConnections: createIntegerSchema(1, 1_000_000, 10_000).describe("The most callers' connections at once."),
     queueLength: createIntegerSchema(1, 1_000_000, 1_000).describe("The most queued requests for a service and rank."),
     retryRatio: z.coerce.number().min(0).max(1).default(0.1).describe("The repeats that the whole fleet may send a service, as a part of its requests."),
--- a/test/integration.endlessBytes.test.ts
+++ b/test/integration.endlessBytes.test.ts
@@ -15,6 +15,8 @@
 /** The time within which the instance closes a connection that nobody needs. */
 const closeLimitMs = 2_000;
 const requestCount = 4;
+/** More than an instance buffers before it begins to relay a body, and more than a caller gets by its deadline in the other cases. */
+const unsizedBodyBytes = 32 * 1024 * 1024;
 const memoryLimitBytes = 250 * 1024 * 1024;
 
 interface WorkerState {
@@ -33,7 +35,7 @@
 void tap.test("workers that send bytes without end", async t => {
     const testPlatform = await platform.startPlatform(1);
     t.teardown(() => testPlatform.stop());
-    const instance = await testPlatform.startInstance();
+    const instance = await testPlatform.startInstance("north", { "unsized-body-bytes": unsizedBodyBytes });
     await platform.waitUntilReady(instance);
     const worker = testPlatform.workers[0]!;
 
@@ -79,6 +81,15 @@
     await doTest("endlessTrickle");
     await doTest("endlessRefusal");
 
+    await t.test("a caller that stays", async t => {
+        await worker.setBehaviour({ spoiled: "endlessBody", spoilPart: 1, slots: 50 });
+        const response = await instance.send("/look/1", { deadlineMs });
+        t.equal(response.status, 200);
+        t.notOk(response.isComplete, "the body does not look complete");
+        t.ok(response.body.length <= unsizedBodyBytes, `the body is cut after ${response.body.length} of ${unsizedBodyBytes} bytes`);
+        t.match((await processes.waitFor("the cut is logged", () => instance.listLogs("answer-cut").find(line => line.context.body === "tooLarge"))).message, /unsizedBodyBytes/);
+    });
+
     await worker.setBehaviour({ spoiled: "none", spoilPart: 0, slots: 3 });
     await processes.waitFor("the worker gets requests again", async () => (await instance.send("/look/1")).status === 200);
     const dump = JSON.parse((await processes.sendRequest(`http://${instance.addresses.operator}/dump`)).body.toString()) as {
