--- a/test/integration.platform.test.ts
+++ b/test/integration.platform.test.ts
@@ -74,6 +74,7 @@
     await doTest("extra", 0.5);
     await doTest("extraLate", 0.5);
     await doTest("cut", 0.5);
+    await doTest("cutHead", 0.5);
     await doTest("unframed", 1);
     await doTest("unframedReset", 0.5);
     await doTest("garbage", 0.5);
