--- a/src/upstreamHealth/chooseByExpectedCost.ts
+++ b/src/upstreamHealth/chooseByExpectedCost.ts
@@ -9,6 +9,10 @@
 const explorationValue = 0.1;
 /** The age at which an observation has lost most of its value. */
 const explorationAgeMs = 600;
+/** An upstream without requests in flight that no instance has used or observed for this time is idle. */
+const idleAgeMs = 1_000;
+/** The value of an observation of an idle upstream. It exceeds the cost of a request to an upstream of unknown health that can be retried. */
+const idleExplorationValue = 0.04;
 /** The cost of an upstream with all slots in use. It grows linearly with the slots in use, because an upstream that is nearly full is slower. */
 const loadCost = 0.01;
 /** The cost of queueing at an upstream until the target latency is used up. */
@@ -39,8 +43,8 @@
     readonly targetLatencyMs: number;
     /** The median latency of the route. */
     readonly medianLatencyMs: number;
-    /** Whether new observations are worth a possible failure, because the service has routes whose requests are not repeatable. */
-    readonly isExplorationUseful: boolean;
+    /** Whether the service has routes whose requests are not repeatable. They depend on fresh observations of all upstreams. */
+    readonly hasNonRepeatableRoutes: boolean;
     /** The average size of the route's response bodies. */
     readonly averageResponseBytes: number;
     /** Identifiers of the upstreams that the request was already sent to. */
@@ -51,8 +55,9 @@
 
 /**
  * Chooses the upstream with the least expected cost among those with free capacity; undefined if it is better to wait.
- * @remarks A request that can be retried prefers upstreams with old observations: its failure costs little, and its outcome updates
- * the estimate for the whole fleet. Any other request prefers the upstream that is least likely to fail.
+ * @remarks A request that can be retried prefers upstreams with old observations, or idle ones where no other request depends on
+ * them: its failure costs little, and its outcome updates the estimate for the whole fleet. Any other request prefers the upstream
+ * that is least likely to fail.
  */
 export function chooseByExpectedCost(options: ChooseByExpectedCostOptions): pool.Upstream | undefined {
     const { upstreams, table, now, excludedUpstreamIds } = options;
@@ -76,15 +81,20 @@
 }
 
 function computeCost(candidate: pool.Upstream, options: ChooseByExpectedCostOptions): number {
-    const { table, now, failureDomain, canRetry, isExplorationUseful, averageResponseBytes, getFraction } = options;
-    const estimate = table.getEstimate(candidate);
-    const failureProbability = estimate.getFailureProbability(now);
+    const { table, now, failureDomain, canRetry, averageResponseBytes, getFraction } = options;
+    const failureProbability = table.getEstimate(candidate).getFailureProbability(now);
     const crossDomainCost = candidate.getFailureDomain() === failureDomain ? 0 : (averageResponseBytes / bytesPerKilobyte) * crossDomainCostPerKilobyte;
     const commonCost = computeLoadCost(table.getFleetInFlight(candidate), candidate.getSlots(), options) + crossDomainCost + getFraction() * 0.001;
-    if (!canRetry) {
-        return failureProbability + commonCost;
+    return canRetry ? failureProbability * retryCost - computeExplorationBenefit(candidate, options) + commonCost : failureProbability + commonCost;
+}
+
+/** Computes the benefit of a new observation of an upstream. */
+function computeExplorationBenefit(candidate: pool.Upstream, { table, now, hasNonRepeatableRoutes }: ChooseByExpectedCostOptions): number {
+    const ageMs = now - Math.max(table.getEstimate(candidate).getUpdatedAt(), table.getLastSentAt(candidate));
+    if (hasNonRepeatableRoutes) {
+        return explorationValue * (1 - Math.exp(-ageMs / explorationAgeMs));
     }
-    const ageMs = now - Math.max(estimate.getUpdatedAt(), table.getLastSentAt(candidate));
-    const explorationBenefit = isExplorationUseful ? explorationValue * (1 - Math.exp(-ageMs / explorationAgeMs)) : 0;
-    return failureProbability * retryCost - explorationBenefit + commonCost;
+    // Only an observation shows that an upstream has recovered, so one without requests would stay without them for good.
+    const isIdle = ageMs >= idleAgeMs && table.getFleetInFlight(candidate) === 0;
+    return isIdle ? idleExplorationValue : 0;
 }
--- a/src/upstreamHealth/upstreamHealth.ts
+++ b/src/upstreamHealth/upstreamHealth.ts
@@ -101,7 +101,7 @@
             medianLatencyMs: this.options.pool.latencies.getQuantile(query.service, query.route, 0.5) ?? query.targetLatencyMs * defaultLatencyFraction,
             table: this.table,
             failureDomain: identity.failureDomain,
-            isExplorationUseful: this.nonRepeatableServices.has(query.service),
+            hasNonRepeatableRoutes: this.nonRepeatableServices.has(query.service),
             averageResponseBytes: this.averageResponseBytes.get(query.route) ?? 0,
             getFraction: random.getFraction,
         });
--- a/test/upstreamHealth/chooseByExpectedCost.test.ts
+++ b/test/upstreamHealth/chooseByExpectedCost.test.ts
@@ -29,7 +29,7 @@
             now,
             failureDomain: "north",
             canRetry: false,
-            isExplorationUseful: true,
+            hasNonRepeatableRoutes: true,
             averageResponseBytes: 1_000,
             queuedMs: 0,
             targetLatencyMs: 800,
@@ -45,7 +45,14 @@
     const failing: UpstreamCase = { id: "failing", outcomes: [["bad", 200], ["bad", 100]] };
     doTest("a request that cannot be retried is sent where a success is recent", [stale, failing, proven], "proven");
     doTest("a request that can be retried is sent where the observations are old", [stale, failing, proven], "stale", { canRetry: true });
-    doTest("a request that can be retried is sent to a healthy upstream if exploration is not useful", [stale, failing, proven], "proven", { canRetry: true, isExplorationUseful: false });
+    const unused: UpstreamCase = { id: "unused", outcomes: [["good", 900]] };
+    const repeatableOnly = { canRetry: true, hasNonRepeatableRoutes: false };
+    doTest("without orders, a request that can be retried is sent where a success is recent", [unused, failing, proven], "proven", repeatableOnly);
+    doTest("without orders, a request that can be retried is sent to an idle upstream", [stale, failing, proven], "stale", repeatableOnly);
+    doTest("without orders, an upstream with a request in flight does not count as idle", [{ ...stale, inFlight: 1 }, failing, proven], "proven", repeatableOnly);
+    doTest("without orders, an upstream that has just failed does not count as idle", [failing, proven], "proven", repeatableOnly);
+    doTest("without orders, an upstream that failed twice is not tried within two seconds", [{ id: "doubted", outcomes: [["bad", 1_900], ["bad", 1_800]] }, proven], "proven", repeatableOnly);
+    doTest("without orders, a request that cannot be retried is not sent to an idle upstream", [stale, failing, proven], "proven", { ...repeatableOnly, canRetry: false });
     doTest("queueing at a healthy upstream costs less than a failure", [failing, { ...proven, inFlight: 2 }], "proven");
     doTest("a request waits while the queue of the healthy upstream is full", [failing, { ...proven, inFlight: 4 }], undefined);
     doTest("the wait is limited", [failing, { ...proven, inFlight: 4 }], "failing", { queuedMs: 400 });
--- a/test/upstreamHealth/upstreamUse.test.ts
+++ b/test/upstreamHealth/upstreamUse.test.ts
@@ -1,21 +1,37 @@
 /**
- * Healthy upstreams receive requests, also those that failed a while ago. Only a request yields an observation, so an
- * upstream that loses to every one with a recent success is never observed again, and the others carry its load.
+ * Guards against healthy upstreams that receive nothing while requests of their service fail (FLOOR). Only a request yields
+ * an observation, so an upstream that loses to every one with a recent success is never observed again, and the others
+ * carry its load. An upstream that turns slow while its callers leave keeps its good estimate all the while.
  */
 
 import tap from "tap";
+import type * as pool from "../../src/pool/index.js";
 import * as healthInstance from "../harness/healthInstance.js";
 
 const workMs = 300;
 const durationMs = 14_000;
+const intervalMs = 25;
+/** How long callers wait for a slow upstream. */
+const patienceMs = 1_500;
 /** The platform's rule looks at this span, and demands this share of the upstreams that have been healthy for some time. */
 const windowMs = 2_000;
 const requiredShare = 0.7;
+const seeds = [1, 2, 3];
 
-/** Sends a request every 25 ms, and each again once if it fails. Returns the upstreams used in each window. */
-function runTraffic(seed: number, isFailing: (index: number, atMs: number) => boolean, untilMs: number): readonly ReadonlySet<string>[] {
+/** How an attempt ends, and after which time. */
+interface AttemptEnd {
+    readonly outcome: pool.AttemptOutcome;
+    readonly afterMs: number;
+}
+
+const answered: AttemptEnd = { outcome: "answered", afterMs: workMs };
+const failed: AttemptEnd = { outcome: "failed", afterMs: 5 };
+const abandoned: AttemptEnd = { outcome: "cancelled", afterMs: patienceMs };
+
+/** Sends a request every 25 ms, and each again once if it fails. Returns the indices of the upstreams used in each window. */
+function runTraffic(seed: number, getEnd: (index: number, atMs: number) => AttemptEnd): readonly (readonly number[])[] {
     const { time, upstreamPool, choose } = healthInstance.createHealthInstance(seed, [{ name: "look", repeatable: true }]);
-    const windows: Set<string>[] = [];
+    const windows = Array.from({ length: durationMs / windowMs }, () => new Set<number>());
     const startedAt = time.now;
     const send = (canRetry: boolean, excluded: ReadonlySet<string>) => {
         const chosen = choose("look", canRetry, excluded);
@@ -23,25 +39,35 @@
             return;
         }
         const atMs = time.now - startedAt;
+        const index = Number(chosen.getId().slice(1));
         const attempt = upstreamPool.startAttempt(chosen, "look", 0);
-        (windows[Math.floor(atMs / windowMs)] ??= new Set()).add(chosen.getId());
-        const fails = isFailing(Number(chosen.getId().slice(1)), atMs);
-        time.scheduleOnce(fails ? 5 : workMs, () => {
-            upstreamPool.finishAttempt(chosen, attempt, fails ? "failed" : "answered");
-            if (fails && canRetry) {
+        windows[Math.floor(atMs / windowMs)]?.add(index);
+        const end = getEnd(index, atMs);
+        time.scheduleOnce(end.afterMs, () => {
+            upstreamPool.finishAttempt(chosen, attempt, end.outcome);
+            if (end.outcome === "failed" && canRetry) {
                 send(false, new Set([chosen.getId()]));
             }
         });
     };
-    time.scheduleRepeatedly(25, () => send(true, new Set()));
-    time.addTime(untilMs);
-    return windows;
+    time.scheduleRepeatedly(intervalMs, () => send(true, new Set()));
+    time.addTime(durationMs);
+    return windows.map(used => [...used]);
 }
 
 void tap.test("upstreams that recovered are used again, although others have room and recent successes", async t => {
-    for (const seed of [1, 2, 3]) {
-        const windows = runTraffic(seed, (index, atMs) => index < 12 && atMs < 2_000, durationMs);
-        const shares = windows.slice(2, durationMs / windowMs).map(used => used.size / healthInstance.upstreamCount);
+    for (const seed of seeds) {
+        const windows = runTraffic(seed, (index, atMs) => index < 12 && atMs < 2_000 ? failed : answered);
+        const shares = windows.slice(2).map(used => used.length / healthInstance.upstreamCount);
         t.ok(Math.min(...shares) >= requiredShare, `seed ${seed}: shares of the upstreams used in each window: ${shares.join(", ")}`);
     }
 });
+
+void tap.test("healthy upstreams are used while others are slow and their callers leave", async t => {
+    const slowCount = 8;
+    for (const seed of seeds) {
+        const windows = runTraffic(seed, (index, atMs) => index < slowCount && atMs >= 4_000 ? abandoned : answered);
+        const shares = windows.slice(2).map(used => used.filter(index => index >= slowCount).length / (healthInstance.upstreamCount - slowCount));
+        t.ok(Math.min(...shares) >= requiredShare, `seed ${seed}: shares of the healthy upstreams used in each window: ${shares.join(", ")}`);
+    }
+});
