--- a/src/upstreamHealth/chooseByExpectedCost.ts
+++ b/src/upstreamHealth/chooseByExpectedCost.ts
@@ -1,5 +1,6 @@
 /** Chooses the upstream with the least expected cost, based on the health estimates that the fleet shares. */
 
+import { match } from "ts-pattern";
 import type * as pool from "../pool/index.js";
 import type * as upstreamHealthTable from "./upstreamHealthTable.js";
 
@@ -27,6 +28,14 @@
 const crossDomainCostPerKilobyte = 0.01;
 const bytesPerKilobyte = 1_000;
 
+/** Which upstreams a request is sent to for the sake of the observation. */
+export type Exploration =
+    /** Those with the oldest observations. */
+    | "oldest"
+    /** Those that are idle. */
+    | "idle"
+    | "none";
+
 /** The request, and the upstreams to choose from. */
 export interface ChooseByExpectedCostOptions {
     readonly upstreams: readonly pool.Upstream[];
@@ -43,8 +52,7 @@
     readonly targetLatencyMs: number;
     /** The median latency of the route. */
     readonly medianLatencyMs: number;
-    /** Whether the service has routes whose requests are not repeatable. They depend on fresh observations of all upstreams. */
-    readonly hasNonRepeatableRoutes: boolean;
+    readonly exploration: Exploration;
     /** The average size of the route's response bodies. */
     readonly averageResponseBytes: number;
     /** Identifiers of the upstreams that the request was already sent to. */
@@ -55,9 +63,8 @@
 
 /**
  * Chooses the upstream with the least expected cost among those with free capacity; undefined if it is better to wait.
- * @remarks A request that can be retried prefers upstreams with old observations, or idle ones where no other request depends on
- * them: its failure costs little, and its outcome updates the estimate for the whole fleet. Any other request prefers the upstream
- * that is least likely to fail.
+ * @remarks A request that explores updates the estimate for the whole fleet, and its failure costs little if it can be retried. Any
+ * other request prefers the upstream that is least likely to fail.
  */
 export function chooseByExpectedCost(options: ChooseByExpectedCostOptions): pool.Upstream | undefined {
     const { upstreams, table, now, excludedUpstreamIds } = options;
@@ -82,19 +89,20 @@
 
 function computeCost(candidate: pool.Upstream, options: ChooseByExpectedCostOptions): number {
     const { table, now, failureDomain, canRetry, averageResponseBytes, getFraction } = options;
+    const failureCost = canRetry ? retryCost : 1;
     const failureProbability = table.getEstimate(candidate).getFailureProbability(now);
+    const explorationBenefit = computeExplorationBenefit(candidate, options) * (failureCost / retryCost);
     const crossDomainCost = candidate.getFailureDomain() === failureDomain ? 0 : (averageResponseBytes / bytesPerKilobyte) * crossDomainCostPerKilobyte;
-    const commonCost = computeLoadCost(table.getFleetInFlight(candidate), candidate.getSlots(), options) + crossDomainCost + getFraction() * 0.001;
-    return canRetry ? failureProbability * retryCost - computeExplorationBenefit(candidate, options) + commonCost : failureProbability + commonCost;
+    return failureProbability * failureCost - explorationBenefit + computeLoadCost(table.getFleetInFlight(candidate), candidate.getSlots(), options) + crossDomainCost + getFraction() * 0.001;
 }
 
-/** Computes the benefit of a new observation of an upstream. */
-function computeExplorationBenefit(candidate: pool.Upstream, { table, now, hasNonRepeatableRoutes }: ChooseByExpectedCostOptions): number {
+/** Computes the benefit of a new observation of an upstream for a request that can be retried. */
+function computeExplorationBenefit(candidate: pool.Upstream, { table, now, exploration }: ChooseByExpectedCostOptions): number {
     const ageMs = now - Math.max(table.getEstimate(candidate).getUpdatedAt(), table.getLastSentAt(candidate));
-    if (hasNonRepeatableRoutes) {
-        return explorationValue * (1 - Math.exp(-ageMs / explorationAgeMs));
-    }
-    // Only an observation shows that an upstream has recovered, so one without requests would stay without them for good.
-    const isIdle = ageMs >= idleAgeMs && table.getFleetInFlight(candidate) === 0;
-    return isIdle ? idleExplorationValue : 0;
+    return match(exploration)
+        .with("oldest", () => explorationValue * (1 - Math.exp(-ageMs / explorationAgeMs)))
+        // Only an observation shows that an upstream has recovered, so one without requests would stay without them for good.
+        .with("idle", () => ageMs >= idleAgeMs && table.getFleetInFlight(candidate) === 0 ? idleExplorationValue : 0)
+        .with("none", () => 0)
+        .exhaustive();
 }
--- a/src/upstreamHealth/upstreamHealth.ts
+++ b/src/upstreamHealth/upstreamHealth.ts
@@ -4,6 +4,7 @@
 import type * as context from "../kernel/context.js";
 import type * as peers from "../peers/index.js";
 import * as pool from "../pool/index.js";
+import * as failureShare from "./failureShare.js";
 import type * as healthEstimate from "./healthEstimate.js";
 import * as chooseByExpectedCost from "./chooseByExpectedCost.js";
 import type * as healthUpdateBuffer from "./healthUpdateBuffer.js";
@@ -21,6 +22,8 @@
 const responseSizeWeight = 0.1;
 /** The assumed median latency of a route without history, as a fraction of its target latency. */
 const defaultLatencyFraction = 0.3;
+/** If a larger share of the recent attempts at a service failed, an idle upstream is no worse for a request that cannot be retried. */
+const failingServiceShare = 0.1;
 /** The interval between two removals of expired reports from other instances, and between two looks at unused upstreams. */
 const expiryCheckIntervalMs = 1_000;
 const zeroCounts: Readonly<Record<healthEstimate.Observation, number>> = { good: 0, bad: 0, survived: 0 };
@@ -29,6 +32,10 @@
 export interface ChooseUpstreamQuery {
     readonly service: string;
     readonly route: string;
+    /** Whether the request may safely run twice, as configured for its route. */
+    readonly isRepeatable: boolean;
+    /** Whether this is a later attempt of the request. */
+    readonly isRetry: boolean;
     /** Whether the request can be retried if this attempt fails. */
     readonly canRetry: boolean;
     /** Identifiers of the upstreams that the request was already sent to. */
@@ -55,11 +62,12 @@
     readonly table = new upstreamHealthTable.UpstreamHealthTable();
     private readonly relay: healthUpdateRelay.HealthUpdateRelay;
     private readonly unusedLog: unusedUpstreamLog.UnusedUpstreamLog;
+    private readonly failureShare = new failureShare.FailureShare();
     private upstreamIndex: { readonly pools: readonly (readonly pool.Upstream[])[]; readonly byId: ReadonlyMap<string, pool.Upstream>; } = { pools: [], byId: new Map() };
     private readonly recordedAsOverdue = new WeakSet<pool.AttemptRecord>();
     /** The moving average of each route's response sizes. */
     private readonly averageResponseBytes = new Map<string, number>();
-    /** The services of routes whose requests are not repeatable. */
+    /** The services of routes whose requests are not repeatable. These requests depend on fresh observations of all upstreams. */
     private nonRepeatableServices: ReadonlySet<string> = new Set();
 
     constructor(private readonly options: CreateUpstreamHealthOptions) {
@@ -101,7 +109,7 @@
             medianLatencyMs: this.options.pool.latencies.getQuantile(query.service, query.route, 0.5) ?? query.targetLatencyMs * defaultLatencyFraction,
             table: this.table,
             failureDomain: identity.failureDomain,
-            hasNonRepeatableRoutes: this.nonRepeatableServices.has(query.service),
+            exploration: this.getExploration(query),
             averageResponseBytes: this.averageResponseBytes.get(query.route) ?? 0,
             getFraction: random.getFraction,
         });
@@ -128,6 +136,14 @@
         );
     }
 
+    private getExploration({ service, canRetry, isRepeatable, isRetry, now }: ChooseUpstreamQuery): chooseByExpectedCost.Exploration {
+        if (canRetry) {
+            return this.nonRepeatableServices.has(service) ? "oldest" : "idle";
+        }
+        const isFirstAttempt = isRepeatable && !isRetry;
+        return isFirstAttempt && this.failureShare.getShare(service, now) > failingServiceShare ? "idle" : "none";
+    }
+
     private listUpstreams(): readonly pool.Upstream[] {
         return this.options.pool.listServicePools().flatMap(({ upstreams }) => upstreams);
     }
@@ -144,6 +160,7 @@
     }
 
     private recordEnd(upstream: pool.Upstream, attempt: pool.AttemptRecord, outcome: pool.AttemptOutcome): void {
+        this.failureShare.recordAttempt(upstream.service, outcome, this.options.context.clock.getNow());
         const isShedWithFreeSlots = outcome === "shed" && this.table.getFleetInFlight(upstream) < upstream.getSlots();
         const isBad = isShedWithFreeSlots || outcome === "failed" || outcome === "timedOut" || outcome === "unreachable";
         if (isBad) {
--- a/test/harness/healthInstance.ts
+++ b/test/harness/healthInstance.ts
@@ -46,6 +46,17 @@
     );
     health.start();
     const choose = (route: string, canRetry: boolean, excludedUpstreamIds: ReadonlySet<string> = new Set()) =>
-        health.chooseUpstream({ service: "s", route, canRetry, excludedUpstreamIds, queuedMs: 0, targetLatencyMs, upstreams: upstreamPool.getServicePool("s")!.upstreams, now: time.now });
+        health.chooseUpstream({
+            service: "s",
+            route,
+            isRepeatable: routes.some(({ name, repeatable }) => name === route && repeatable),
+            isRetry: excludedUpstreamIds.size > 0,
+            canRetry,
+            excludedUpstreamIds,
+            queuedMs: 0,
+            targetLatencyMs,
+            upstreams: upstreamPool.getServicePool("s")!.upstreams,
+            now: time.now,
+        });
     return { time, logs, upstreamPool, choose };
 }
--- a/test/upstreamHealth/chooseByExpectedCost.test.ts
+++ b/test/upstreamHealth/chooseByExpectedCost.test.ts
@@ -29,7 +29,7 @@
             now,
             failureDomain: "north",
             canRetry: false,
-            hasNonRepeatableRoutes: true,
+            exploration: "none",
             averageResponseBytes: 1_000,
             queuedMs: 0,
             targetLatencyMs: 800,
@@ -44,19 +44,22 @@
     const stale: UpstreamCase = { id: "stale", outcomes: [["good", 8_000]] };
     const failing: UpstreamCase = { id: "failing", outcomes: [["bad", 200], ["bad", 100]] };
     doTest("a request that cannot be retried is sent where a success is recent", [stale, failing, proven], "proven");
-    doTest("a request that can be retried is sent where the observations are old", [stale, failing, proven], "stale", { canRetry: true });
+    doTest("a request that can be retried is sent where the observations are old", [stale, failing, proven], "stale", { canRetry: true, exploration: "oldest" });
     const unused: UpstreamCase = { id: "unused", outcomes: [["good", 900]] };
-    const repeatableOnly = { canRetry: true, hasNonRepeatableRoutes: false };
+    const repeatableOnly = { canRetry: true, exploration: "idle" } as const;
     doTest("without orders, a request that can be retried is sent where a success is recent", [unused, failing, proven], "proven", repeatableOnly);
     doTest("without orders, a request that can be retried is sent to an idle upstream", [stale, failing, proven], "stale", repeatableOnly);
     doTest("without orders, an upstream with a request in flight does not count as idle", [{ ...stale, inFlight: 1 }, failing, proven], "proven", repeatableOnly);
     doTest("without orders, an upstream that has just failed does not count as idle", [failing, proven], "proven", repeatableOnly);
     doTest("without orders, an upstream that failed twice is not tried within two seconds", [{ id: "doubted", outcomes: [["bad", 1_900], ["bad", 1_800]] }, proven], "proven", repeatableOnly);
-    doTest("without orders, a request that cannot be retried is not sent to an idle upstream", [stale, failing, proven], "proven", { ...repeatableOnly, canRetry: false });
+    doTest("without orders, a request that cannot be retried is not sent to an idle upstream", [stale, failing, proven], "proven", { ...repeatableOnly, canRetry: false, exploration: "none" });
+    doTest("a request that cannot be retried is sent to an idle upstream if it explores", [stale, failing, proven], "stale", { exploration: "idle" });
+    doTest("a request that cannot be retried and explores is not sent to a failing upstream", [{ id: "doubted", outcomes: [["bad", 1_900], ["bad", 1_800]] }, proven], "proven", { exploration: "idle" });
+    doTest("a large response stays within the failure domain if the request explores", [{ ...stale, domain: "south" }, proven], "proven", { exploration: "idle", averageResponseBytes: 90_000 });
     doTest("queueing at a healthy upstream costs less than a failure", [failing, { ...proven, inFlight: 2 }], "proven");
     doTest("a request waits while the queue of the healthy upstream is full", [failing, { ...proven, inFlight: 4 }], undefined);
     doTest("the wait is limited", [failing, { ...proven, inFlight: 4 }], "failing", { queuedMs: 400 });
-    doTest("a request that can be retried does not wait", [failing, { ...proven, inFlight: 4 }], "failing", { canRetry: true });
+    doTest("a request that can be retried does not wait", [failing, { ...proven, inFlight: 4 }], "failing", { canRetry: true, exploration: "oldest" });
     doTest("a request waits while all queues are full", [{ ...failing, inFlight: 4 }, { ...proven, inFlight: 4 }], undefined);
     doTest("slots in use by other instances count", [{ ...proven, id: "busy", inFlight: 1 }, proven], "proven");
     doTest("the local failure domain is preferred among equals", [{ ...proven, id: "far", domain: "south" }, proven], "proven");
--- a/test/upstreamHealth/upstreamUse.test.ts
+++ b/test/upstreamHealth/upstreamUse.test.ts
@@ -13,9 +13,10 @@
 const intervalMs = 25;
 /** How long callers wait for a slow upstream. */
 const patienceMs = 1_500;
-/** The platform's rule looks at this span, and demands this share of the upstreams that have been healthy for some time. */
+/** The platform's rule looks at this span, and demands this share of the healthy upstreams while more than this share of the requests fails. */
 const windowMs = 2_000;
 const requiredShare = 0.7;
+const toleratedFailures = 0.1;
 const seeds = [1, 2, 3];
 
 /** How an attempt ends, and after which time. */
@@ -24,14 +25,22 @@
     readonly afterMs: number;
 }
 
+/** The traffic of one window. */
+interface TrafficWindow {
+    /** The indices of the upstreams that received requests. */
+    readonly used: Set<number>;
+    requests: number;
+    abandoned: number;
+}
+
 const answered: AttemptEnd = { outcome: "answered", afterMs: workMs };
 const failed: AttemptEnd = { outcome: "failed", afterMs: 5 };
 const abandoned: AttemptEnd = { outcome: "cancelled", afterMs: patienceMs };
 
-/** Sends a request every 25 ms, and each again once if it fails. Returns the indices of the upstreams used in each window. */
-function runTraffic(seed: number, getEnd: (index: number, atMs: number) => AttemptEnd): readonly (readonly number[])[] {
+/** Sends a request every 25 ms, and each again up to `maximumRetries` times if it fails. */
+function runTraffic(seed: number, maximumRetries: 0 | 1, getEnd: (index: number, atMs: number) => AttemptEnd): readonly TrafficWindow[] {
     const { time, upstreamPool, choose } = healthInstance.createHealthInstance(seed, [{ name: "look", repeatable: true }]);
-    const windows = Array.from({ length: durationMs / windowMs }, () => new Set<number>());
+    const windows = Array.from({ length: durationMs / windowMs }, (): TrafficWindow => ({ used: new Set(), requests: 0, abandoned: 0 }));
     const startedAt = time.now;
     const send = (canRetry: boolean, excluded: ReadonlySet<string>) => {
         const chosen = choose("look", canRetry, excluded);
@@ -41,8 +50,11 @@
         const atMs = time.now - startedAt;
         const index = Number(chosen.getId().slice(1));
         const attempt = upstreamPool.startAttempt(chosen, "look", 0);
-        windows[Math.floor(atMs / windowMs)]?.add(index);
         const end = getEnd(index, atMs);
+        const window = windows[Math.min(windows.length - 1, Math.floor(atMs / windowMs))]!;
+        window.used.add(index);
+        window.requests += 1;
+        window.abandoned += end === abandoned ? 1 : 0;
         time.scheduleOnce(end.afterMs, () => {
             upstreamPool.finishAttempt(chosen, attempt, end.outcome);
             if (end.outcome === "failed" && canRetry) {
@@ -50,15 +62,15 @@
             }
         });
     };
-    time.scheduleRepeatedly(intervalMs, () => send(true, new Set()));
+    time.scheduleRepeatedly(intervalMs, () => send(maximumRetries > 0, new Set()));
     time.addTime(durationMs);
-    return windows.map(used => [...used]);
+    return windows;
 }
 
 void tap.test("upstreams that recovered are used again, although others have room and recent successes", async t => {
     for (const seed of seeds) {
-        const windows = runTraffic(seed, (index, atMs) => index < 12 && atMs < 2_000 ? failed : answered);
-        const shares = windows.slice(2).map(used => used.length / healthInstance.upstreamCount);
+        const windows = runTraffic(seed, 1, (index, atMs) => index < 12 && atMs < 2_000 ? failed : answered);
+        const shares = windows.slice(2).map(({ used }) => used.size / healthInstance.upstreamCount);
         t.ok(Math.min(...shares) >= requiredShare, `seed ${seed}: shares of the upstreams used in each window: ${shares.join(", ")}`);
     }
 });
@@ -66,8 +78,24 @@
 void tap.test("healthy upstreams are used while others are slow and their callers leave", async t => {
     const slowCount = 8;
     for (const seed of seeds) {
-        const windows = runTraffic(seed, (index, atMs) => index < slowCount && atMs >= 4_000 ? abandoned : answered);
-        const shares = windows.slice(2).map(used => used.filter(index => index >= slowCount).length / (healthInstance.upstreamCount - slowCount));
+        const windows = runTraffic(seed, 1, (index, atMs) => index < slowCount && atMs >= 4_000 ? abandoned : answered);
+        const shares = windows.slice(2).map(({ used }) => [...used].filter(index => index >= slowCount).length / (healthInstance.upstreamCount - slowCount));
         t.ok(Math.min(...shares) >= requiredShare, `seed ${seed}: shares of the healthy upstreams used in each window: ${shares.join(", ")}`);
     }
 });
+
+void tap.test("healthy upstreams are used once requests that cannot be retried fail", async t => {
+    for (const seed of seeds) {
+        const slow = new Set<number>();
+        const windows = runTraffic(seed, 0, (index, atMs) => {
+            if (atMs < 4_000) {
+                slow.add(index);
+            }
+            return slow.has(index) && atMs >= 4_000 ? abandoned : answered;
+        });
+        // The window from 4 s on holds the requests that show that the upstreams used so far have turned slow.
+        const failing = windows.slice(3).filter(({ abandoned: count, requests }) => count > requests * toleratedFailures);
+        const shares = failing.map(({ used }) => [...used].filter(index => !slow.has(index)).length / (healthInstance.upstreamCount - slow.size));
+        t.ok(Math.min(1, ...shares) >= requiredShare, `seed ${seed}: shares of the healthy upstreams used in each window with failures: ${shares.join(", ")}`);
+    }
+});
