--- a/src/callers/requestLog.ts
+++ b/src/callers/requestLog.ts
@@ -54,7 +54,7 @@
             return;
         }
         if (cutReason !== undefined) {
-            logger.writeWarning("answer-cut", cutReason, values);
+            logger.writeWarning("answer-cut", `${cutReason}; the response to the caller is incomplete`, values);
             return;
         }
         logger.writeWarning(error === undefined ? "request-failed-upstream" : "request-refused", `the request was answered ${request.status}`, values);
@@ -75,8 +75,8 @@
 function getCutReason(body: CompletedRequest["body"]): string | undefined {
     return match(body)
         .with("whole", "none", () => undefined)
-        .with("callerGone", () => "the caller disconnected before the response was complete")
-        .with("tooLarge", () => "the upstream's answer exceeded unsizedBodyBytes; the response to the caller is incomplete")
-        .with("broken", "unstarted", () => "the upstream's answer broke off; the response to the caller is incomplete")
+        .with("callerGone", () => "the caller disconnected")
+        .with("tooLarge", () => "the upstream's answer exceeded unsizedBodyBytes")
+        .with("broken", "unstarted", () => "the upstream's answer broke off")
         .exhaustive();
 }
