--- a/test/harness/ports.ts
+++ b/test/harness/ports.ts
@@ -2,10 +2,11 @@
 
 import * as net from "node:net";
 
-/** Lies below the kernel's ephemeral port range, so that the kernel assigns none of these ports to another process. */
-const firstPort = 15_000;
+/** Lies above the fixed ports of the README's examples, which a test runs. */
+export const firstPort = 18_400;
 const portsPerRange = 200;
-const rangeCount = 85;
+/** The ranges lie below the kernel's ephemeral port range, so that the kernel assigns none of these ports to another process. */
+const rangeCount = 71;
 
 let checkedCount = 0;
 
--- a/test/readme.test.ts
+++ b/test/readme.test.ts
@@ -5,6 +5,14 @@
 import * as os from "node:os";
 import * as path from "node:path";
 import tap from "tap";
+import * as ports from "./harness/ports.js";
+
+/** Guards against a test that runs at the same time and is given one of these ports. */
+void tap.test("the README's examples use no port that tests are given", async t => {
+    const used = [...fs.readFileSync("README.md", "utf8").matchAll(/127\.0\.0\.1:(\d{5})/g)].map(found => Number(found[1]));
+    t.ok(used.length > 0);
+    t.strictSame(used.filter(port => port >= ports.firstPort), []);
+});
 
 void tap.test("the README's examples", async t => {
     const directory = fs.mkdtempSync(path.join(os.tmpdir(), "agatebend-readme-"));
