--- a/src/upstreamHealth/healthUpdateRelay.ts
+++ b/src/upstreamHealth/healthUpdateRelay.ts
@@ -37,6 +37,7 @@
 /** Marks an origin that stands for a whole failure domain. */
 const domainOriginPrefix = "@";
 const topic = "news";
+const zeroCounts: healthUpdateBuffer.HealthUpdate["counts"] = { good: 0, bad: 0, survived: 0 };
 
 /** Options of a relay. */
 export interface CreateHealthUpdateRelayOptions {
@@ -103,6 +104,21 @@
         }
     }
 
+    /**
+     * Relays that a disconnected instance of the local failure domain has nothing in flight any more, if this instance is the
+     * domain's relay.
+     * @param origin - The instance that is no longer linked.
+     * @param upstreams - The upstreams at which it had requests in flight.
+     * @remarks The other domains count these requests in the domain's sum, and an update that a relay still buffers would bring
+     * them back here.
+     */
+    relayLoadEnd(origin: string, upstreams: readonly string[]): void {
+        const { context: { identity } } = this.options;
+        if (this.chooseRelay(identity.failureDomain, [identity.instanceId]) === identity.instanceId) {
+            this.relayUpdates(upstreams.map(upstream => ({ origin, upstream, inFlight: 0, counts: zeroCounts, newestGoodSentAt: -Infinity })));
+        }
+    }
+
     /**
      * Forgets the upstreams whose last update is too old to be sent again.
      * @param now - The time, in monotonic milliseconds.
@@ -118,7 +134,7 @@
         timers.scheduleOnce(resendDelayMs, () => {
             this.removeExpiredSendTimes(clock.getNow());
             for (const upstream of this.lastSentAt.keys()) {
-                this.localBuffer.addUpdate({ origin: identity.instanceId, upstream, inFlight: getLocalInFlight(upstream), counts: { good: 0, bad: 0, survived: 0 }, newestGoodSentAt: -Infinity });
+                this.localBuffer.addUpdate({ origin: identity.instanceId, upstream, inFlight: getLocalInFlight(upstream), counts: zeroCounts, newestGoodSentAt: -Infinity });
             }
         });
     }
--- a/src/upstreamHealth/upstreamHealth.ts
+++ b/src/upstreamHealth/upstreamHealth.ts
@@ -233,8 +233,9 @@
     private handlePeerLoss(peerId: string): void {
         const { mesh, context: { identity } } = this.options;
         const upstreams = this.listUpstreams();
-        this.table.removeOrigin(upstreams, peerId);
+        const loaded = this.table.removeOrigin(upstreams, peerId);
         this.relay.handlePeerLoss(peerId);
+        this.relay.relayLoadEnd(peerId, loaded.map(upstream => upstream.getId()));
         const domain = mesh.getMember(peerId)?.failureDomain;
         if (domain === undefined || domain === identity.failureDomain) {
             return;
--- a/src/upstreamHealth/upstreamHealthTable.ts
+++ b/src/upstreamHealth/upstreamHealthTable.ts
@@ -84,9 +84,11 @@
         }
     }
 
-    /** Removes the load that an origin reported before this instance lost its connection to it. */
-    removeOrigin(upstreams: readonly pool.Upstream[], origin: string): void {
-        upstreams.forEach(upstream => this.recordRemoteInFlight(upstream, origin, 0, -Infinity));
+    /** Removes the load that an origin reported before this instance lost its connection to it. Returns the upstreams that had such a load. */
+    removeOrigin(upstreams: readonly pool.Upstream[], origin: string): readonly pool.Upstream[] {
+        const loaded = upstreams.filter(upstream => this.getState(upstream).remoteLoads.has(origin));
+        loaded.forEach(upstream => this.recordRemoteInFlight(upstream, origin, 0, -Infinity));
+        return loaded;
     }
 
     private getState(upstream: pool.Upstream): UpstreamState {
--- a/test/upstreamHealth/healthUpdateRelay.test.ts
+++ b/test/upstreamHealth/healthUpdateRelay.test.ts
@@ -76,13 +76,31 @@
         const node: Node = { id, domain, relay, applied, upstream, table, logs, received: 0, isSilent: false, isLost: false, unreachablePeer: "" };
         nodes.push(node);
     }
+    /** Ends an instance, and tells the others that their links to it have closed. */
+    const stopNode = (lost: Node) => {
+        lost.isSilent = true;
+        lost.isLost = true;
+        for (const { upstream, table, relay } of nodes.filter(other => other !== lost)) {
+            const loaded = table.removeOrigin([upstream], lost.id);
+            relay.handlePeerLoss(lost.id);
+            relay.relayLoadEnd(lost.id, loaded.map(found => found.getId()));
+        }
+    };
     const countFailures = ({ applied }: Node) => applied.reduce((sum, { counts }) => sum + counts.bad, 0);
-    return { time, nodes, handlers, countFailures };
+    return { time, nodes, handlers, stopNode, countFailures };
 }
 
 const failure = { upstream: "u1", inFlight: 0, counts: { ...zeroCounts, bad: 1 }, newestGoodSentAt: -Infinity };
 const createLoadUpdate = (inFlight: number) => ({ upstream: "u1", inFlight, counts: zeroCounts, newestGoodSentAt: -Infinity });
 
+/** Lets each instance of the domain north report once, and finds the one that they report to. */
+function findRelay(nodes: readonly Node[], time: virtualTime.VirtualTime) {
+    const north = nodes.filter(({ domain }) => domain === "north");
+    north.forEach(({ relay }) => relay.addLocalUpdate(createLoadUpdate(0)));
+    time.addTime(100);
+    return { north, relay: north.reduce((most, next) => next.received > most.received ? next : most) };
+}
+
 void tap.test("a failure reaches every other instance once, within milliseconds", async t => {
     for (const sender of [0, 5, 11]) {
         const { time, nodes, countFailures } = createFleet(12);
@@ -124,10 +142,7 @@
 void tap.test("a relay that is silent or unreachable is replaced", async t => {
     const doTest = (name: string, disturb: (relay: Node, first: Node) => void) => {
         const { time, nodes, countFailures } = createFleet(12);
-        const north = nodes.filter(({ domain }) => domain === "north");
-        north.forEach(({ relay }) => relay.addLocalUpdate(createLoadUpdate(1)));
-        time.addTime(100);
-        const relay = north.reduce((most, next) => next.received > most.received ? next : most);
+        const { north, relay } = findRelay(nodes, time);
         const [first, second] = north.filter(node => node !== relay) as [Node, Node];
         disturb(relay, first);
         for (let step = 0; step < 30; step += 1) {
@@ -152,10 +167,7 @@
 void tap.test("a load is corrected even if its last update was lost with the relay", async t => {
     const doTest = (name: string, disturb: (relay: Node, first: Node) => void) => {
         const { time, nodes } = createFleet(12);
-        const north = nodes.filter(({ domain }) => domain === "north");
-        north.forEach(({ relay }) => relay.addLocalUpdate(createLoadUpdate(0)));
-        time.addTime(100);
-        const relay = north.reduce((most, next) => next.received > most.received ? next : most);
+        const { north, relay } = findRelay(nodes, time);
         const first = north.find(node => node !== relay)!;
         const attempt = { route: "r", rankIndex: 0, startedAt: time.now };
         first.upstream.attempts.add(attempt);
@@ -180,6 +192,28 @@
     });
 });
 
+/** Guards against requests of a killed instance that keep counting as in flight, so that upstreams look busy and get no others. */
+void tap.test("the load of a killed instance is not counted any longer", async t => {
+    const doTest = (name: string, reportedMs: number, isRelayKilled: boolean) => {
+        const { time, nodes, stopNode } = createFleet(12);
+        const { north, relay } = findRelay(nodes, time);
+        const killed = isRelayKilled ? relay : north.find(node => node !== relay)!;
+        killed.upstream.attempts.add({ route: "r", rankIndex: 0, startedAt: time.now });
+        killed.relay.addLocalUpdate(createLoadUpdate(1));
+        time.addTime(reportedMs);
+        stopNode(killed);
+        time.addTime(1_000);
+        for (const domain of domains) {
+            const others = nodes.filter(node => node !== killed && node.domain === domain);
+            t.strictSame(others.map(({ table, upstream }) => table.getFleetInFlight(upstream)), others.map(() => 0), `${name}, in ${domain}`);
+        }
+    };
+    // After more than 3 s no instance sends its own loads again, which would correct the sum by chance.
+    doTest("reported to all domains", 4_000, false);
+    doTest("reported by the relay that was killed", 4_000, true);
+    doTest("still buffered by the relay", 40, false);
+});
+
 void tap.test("a malformed message is ignored", async t => {
     const { nodes, handlers } = createFleet(3);
     handlers.get("i0")!("i1", { parts: [{ origin: "i1", news: [["u1", -1]] }], spread: "none" });
