--- a/src/kernel/errors.ts
+++ b/src/kernel/errors.ts
@@ -42,6 +42,7 @@
     deadlineAfterSend: createDefinition(504, "DeadlineExceeded", "unknown", "sameKey", "The deadline passed after the request was sent to an upstream."),
     answerLost: createDefinition(502, "Unavailable", "unknown", "sameKey", "The request was sent to an upstream, but the response was lost, incomplete or a gateway error."),
     callerGone: createDefinition(499, "Canceled", "not-executed", "no", "The caller disconnected before the request was sent."),
+    callerGoneAfterSend: createDefinition(499, "Canceled", "unknown", "no", "The caller disconnected after the request was sent to an upstream."),
     orderKeyMissing: createDefinition(400, "InvalidArgument", "not-executed", "no", "The route needs an order key and the request has none."),
     orderKeyInvalid: createDefinition(400, "InvalidArgument", "not-executed", "no", "The order key is malformed, or its prefix was not issued by the instance it names."),
     orderKeyReused: createDefinition(422, "InvalidArgument", "unknown", "no", "The order key was already used for a different request."),
--- a/src/requests/runWithRetries.ts
+++ b/src/requests/runWithRetries.ts
@@ -75,18 +75,18 @@
         const canRetry = progress.sentAttempts + 1 < request.route.maximumAttempts && executor.getRetryBudget(service).getRemainingRetries() >= 1;
         const slot = await executor.acquireSlot(request, progress.excludedUpstreamIds, { isRetry: progress.attempts > 0, canRetry });
         if (slot.isErr()) {
-            return { kind: "error", error: createSlotError(slot.error, progress.sentAttempts) };
+            return { kind: "error", error: createUnansweredError(slot.error, progress.sentAttempts) };
         }
         if (executor.context.clock.getNow() >= request.deadlineAt) {
             slot.value.release("cancelled");
-            return { kind: "error", error: createSlotError(errors.createError("deadlineBeforeSend"), progress.sentAttempts) };
+            return { kind: "error", error: createUnansweredError(errors.createError("deadlineBeforeSend"), progress.sentAttempts) };
         }
         progress.attempts += 1;
         const upstream = slot.value.upstream;
         const definition = executor.getServiceDefinition(service);
         if (definition === undefined) {
             slot.value.release("cancelled");
-            return { kind: "error", error: errors.createError("routeNotFound", `the service ${service} is no longer configured`) };
+            return { kind: "error", error: createUnansweredError(errors.createError("routeNotFound", `the service ${service} is no longer configured`), progress.sentAttempts) };
         }
         const result = await executor.sendAttempt({
             context: executor.context,
@@ -104,9 +104,9 @@
             .with({ kind: "shed" }, { kind: "unreachable" }, notExecuted => retryNotExecuted(executor, request, progress, slot.value, notExecuted))
             .with({ kind: "lost" }, ({ reason }) => retrySent(executor, request, progress, slot.value, "failed", errors.createError("answerLost", `the response was lost: ${reason}`)))
             .with({ kind: "timedOut" }, () => retryTimedOut(executor, request, progress, slot.value))
-            .with({ kind: "cancelled" }, (): OpenResult => {
+            .with({ kind: "cancelled" }, ({ wasSent }): OpenResult => {
                 slot.value.release("cancelled");
-                return { kind: "error", error: errors.createError("callerGone") };
+                return { kind: "error", error: createUnansweredError(errors.createError("callerGone"), progress.sentAttempts + (wasSent ? 1 : 0)) };
             })
             .exhaustive();
         if (next !== "retry") {
@@ -194,12 +194,12 @@
     return isDeadlinePassed ? { kind: "error", error: errors.createError("deadlineAfterSend") } : "retry";
 }
 
-/** Creates the error of a request that got no slot. If an earlier attempt was sent, the upstream may have run the request. */
-function createSlotError(error: errors.FleetError, sentAttempts: number): errors.FleetError {
-    if (error.kind === "callerGone" || sentAttempts === 0) {
+/** Creates the error of a request that ended before an upstream answered it. If an attempt was sent, the upstream may have run the request. */
+function createUnansweredError(error: errors.FleetError, sentAttempts: number): errors.FleetError {
+    if (sentAttempts === 0) {
         return error;
     }
-    return errors.createError("deadlineAfterSend", `an earlier attempt was sent and failed; after that: ${error.message}`);
+    return error.kind === "callerGone" ? errors.createError("callerGoneAfterSend") : errors.createError("deadlineAfterSend", `an earlier attempt was sent and failed; after that: ${error.message}`);
 }
 
 async function relayResponse(executor: executorContext.ExecutorContext, request: types.RoutedRequest, progress: Progress, opened: OpenedResponse, caller: http.ServerResponse): Promise<ExecutionSummary | "retry"> {
