--- a/src/detection/ejections.ts
+++ b/src/detection/ejections.ts
@@ -15,6 +15,8 @@
 const requiredTrialSuccesses = 3;
 /** A trial without a result is assigned to another instance after this time. */
 const trialAssignmentMs = 2_000;
+/** A trial that has not failed ends after this time, since a service with few or only non-repeatable requests never yields the successes. */
+const maximumTrialMs = 10_000;
 /** The time in which the fraction of requests that a recovering upstream receives grows from 0 to 1. */
 export const recoveryRampMs = 4_000;
 
@@ -152,6 +154,10 @@
             record.phase = { kind: "recovering", startedAt: now };
             return { upstream, change: "recovering", reason: `${summary!.ok} trial requests were answered in time` };
         }
+        if (trialMs >= maximumTrialMs) {
+            record.phase = { kind: "recovering", startedAt: now };
+            return { upstream, change: "recovering", reason: `no trial request failed in ${trialMs} ms` };
+        }
         if (now - phase.assignedAt >= trialAssignmentMs) {
             record.phase = { ...phase, assignedAt: now, assignedTo: this.chooseTrialInstance(upstream, record, input, phase.assignedTo) };
         }
--- a/test/detection/ejections.property.test.ts
+++ b/test/detection/ejections.property.test.ts
@@ -75,3 +75,19 @@
     doTest(12_500, "healthy", 3, ["recovering"]);
     doTest(16_500, "healthy", 5, ["routable"]);
 });
+
+/** Guards against an upstream that never returns: one whose service has orders alone, or few requests, gets too few for the successes that end a trial. */
+void tap.test("an upstream returns although too few requests test it", async t => {
+    for (const ok of [0, 1]) {
+        const serviceEjections = new ejections.Ejections();
+        const decide = (now: number, kind: (typeof kinds)[number]) => {
+            const created = createClassification(kind);
+            const classifications = new Map<string, classification.Classification>([["u0", { ...created, summary: { ...created.summary, ok } }]]);
+            return serviceEjections.decidePhases({ now, classifications, live: ["u0", "u1", "u2"], floor: 2, followers: ["a", "b"], knownInstances: 2 }).map(({ change }) => change);
+        };
+        t.strictSame(decide(0, "outlier"), ["ejected"]);
+        t.strictSame(decide(4_000, "healthy"), ["trial"]);
+        t.strictSame(decide(13_900, "healthy"), [], `not before 10 s, successes: ${ok}`);
+        t.strictSame(decide(14_000, "healthy"), ["recovering"], `after 10 s, successes: ${ok}`);
+    }
+});
