--- a/test/upstreamHealth/upstreamUse.test.ts
+++ b/test/upstreamHealth/upstreamUse.test.ts
@@ -6,6 +6,7 @@
 
 import tap from "tap";
 import type * as pool from "../../src/pool/index.js";
+import * as randomness from "../../src/kernel/randomness.js";
 import * as healthInstance from "../harness/healthInstance.js";
 
 const workMs = 300;
@@ -30,7 +31,7 @@
     /** The indices of the upstreams that received requests. */
     readonly used: Set<number>;
     requests: number;
-    abandoned: number;
+    unserved: number;
 }
 
 const answered: AttemptEnd = { outcome: "answered", afterMs: workMs };
@@ -38,9 +39,9 @@
 const abandoned: AttemptEnd = { outcome: "cancelled", afterMs: patienceMs };
 
 /** Sends a request every 25 ms, and each again up to `maximumRetries` times if it fails. */
-function runTraffic(seed: number, maximumRetries: 0 | 1, getEnd: (index: number, atMs: number) => AttemptEnd): readonly TrafficWindow[] {
-    const { time, upstreamPool, choose } = healthInstance.createHealthInstance(seed, [{ name: "look", repeatable: true }]);
-    const windows = Array.from({ length: durationMs / windowMs }, (): TrafficWindow => ({ used: new Set(), requests: 0, abandoned: 0 }));
+function runTraffic(seed: number, maximumRetries: 0 | 1, getEnd: (index: number, atMs: number) => AttemptEnd, repeatable = true): readonly TrafficWindow[] {
+    const { time, upstreamPool, choose } = healthInstance.createHealthInstance(seed, [{ name: "look", repeatable }]);
+    const windows = Array.from({ length: durationMs / windowMs }, (): TrafficWindow => ({ used: new Set(), requests: 0, unserved: 0 }));
     const startedAt = time.now;
     const send = (canRetry: boolean, excluded: ReadonlySet<string>) => {
         const chosen = choose("look", canRetry, excluded);
@@ -54,7 +55,7 @@
         const window = windows[Math.min(windows.length - 1, Math.floor(atMs / windowMs))]!;
         window.used.add(index);
         window.requests += 1;
-        window.abandoned += end === abandoned ? 1 : 0;
+        window.unserved += end !== answered && !(end === failed && canRetry) ? 1 : 0;
         time.scheduleOnce(end.afterMs, () => {
             upstreamPool.finishAttempt(chosen, attempt, end.outcome);
             if (end.outcome === "failed" && canRetry) {
@@ -94,8 +95,31 @@
             return slow.has(index) && atMs >= 4_000 ? abandoned : answered;
         });
         // The window from 4 s on holds the requests that show that the upstreams used so far have turned slow.
-        const failing = windows.slice(3).filter(({ abandoned: count, requests }) => count > requests * toleratedFailures);
+        const failing = windows.slice(3).filter(({ unserved, requests }) => unserved > requests * toleratedFailures);
         const shares = failing.map(({ used }) => [...used].filter(index => !slow.has(index)).length / (healthInstance.upstreamCount - slow.size));
         t.ok(Math.min(1, ...shares) >= requiredShare, `seed ${seed}: shares of the healthy upstreams used in each window with failures: ${shares.join(", ")}`);
     }
 });
+
+void tap.test("healthy upstreams are used once those of a service with orders alone fail in part", async t => {
+    const failingPart = 0.4;
+    for (const seed of seeds) {
+        const { getFraction } = randomness.createSeededRandomness(seed);
+        const failing = new Set<number>();
+        const windows = runTraffic(
+            seed,
+            0,
+            (index, atMs) => {
+                if (atMs < 4_000) {
+                    failing.add(index);
+                }
+                return failing.has(index) && atMs >= 4_000 && getFraction() < failingPart ? failed : answered;
+            },
+            false,
+        );
+        t.ok(windows[2]!.unserved > 0, `seed ${seed}: ${windows[2]!.unserved} orders failed in the window from 4 s on`);
+        const unserved = windows.slice(2).filter(({ unserved: count, requests }) => count > requests * toleratedFailures);
+        const shares = unserved.map(({ used }) => [...used].filter(index => !failing.has(index)).length / (healthInstance.upstreamCount - failing.size));
+        t.ok(Math.min(1, ...shares) >= requiredShare, `seed ${seed}: shares of the healthy upstreams used in each window with failures: ${shares.join(", ")}`);
+    }
+});
