--- a/src/upstreamHealth/unusedUpstreamLog.ts
+++ b/src/upstreamHealth/unusedUpstreamLog.ts
@@ -6,7 +6,7 @@
 
 /** An upstream is unused if no instance has sent it a request for this time. */
 const unusedAfterMs = 1_000;
-/** Further unused upstreams are counted, but not listed in the log line. */
+/** Those with the oldest outcomes are listed in the log line; further ones are only counted. */
 const maximumListed = 12;
 
 /** Options of `UnusedUpstreamLog`. */
@@ -32,7 +32,8 @@
         const { pool: upstreamPool, table, context: { logger } } = this.options;
         for (const [service, failures] of this.failures) {
             const upstreams = (upstreamPool.getServicePool(service)?.upstreams ?? []).filter(upstream => !upstream.isLeaving(now));
-            const unused = upstreams.filter(upstream => now - table.getLastSentAt(upstream) >= unusedAfterMs);
+            const unused = upstreams.filter(upstream => now - table.getLastSentAt(upstream) >= unusedAfterMs)
+                .sort((a, b) => computeOrder(table.getEstimate(a).getUpdatedAt(), table.getEstimate(b).getUpdatedAt()));
             if (unused.length > 0) {
                 logger.writeInfo("upstreams-unused", `${unused.length} of ${upstreams.length} upstreams of ${service} were sent no request for ${unusedAfterMs} ms while ${failures} attempts of this instance failed`, {
                     service,
@@ -60,3 +61,8 @@
         ].join(", ");
     }
 }
+
+/** Orders times, of which several may be -Infinity. */
+function computeOrder(a: number, b: number): number {
+    return a === b ? 0 : a - b;
+}
--- a/test/upstreamHealth/unusedUpstreamLog.test.ts
+++ b/test/upstreamHealth/unusedUpstreamLog.test.ts
@@ -22,3 +22,16 @@
     time.addTime(3_000);
     t.equal(listLines().length, 1, "the failure is reported once");
 });
+
+/** Guards against a line that is filled with upstreams that have just failed, while it leaves out those that nothing has been sent to. */
+void tap.test("the log lists the upstreams with the oldest outcomes first", async t => {
+    const { time, logs, upstreamPool } = healthInstance.createHealthInstance(1, [{ name: "look", repeatable: true }]);
+    const [first, second] = upstreamPool.getServicePool("s")!.upstreams;
+    for (const failing of [first!, second!]) {
+        upstreamPool.finishAttempt(failing, upstreamPool.startAttempt(failing, "look", 0), "failed");
+        time.addTime(1_500);
+    }
+    const line = logs.findLast(({ event }) => event === "upstreams-unused");
+    t.equal(line?.values.unused, healthInstance.upstreamCount - 1);
+    t.notMatch(line?.values.upstreams, /u0 in/);
+});
