--- a/src/detection/ejections.ts
+++ b/src/detection/ejections.ts
@@ -150,13 +150,10 @@
         if (summary !== undefined && summary.streak > 0 && summary.newestBadMs < trialMs) {
             return this.eject(upstream, record, `failed its trial; before: ${phase.reason}`, now);
         }
-        if ((summary?.ok ?? 0) >= requiredTrialSuccesses) {
+        const successes = summary?.ok ?? 0;
+        if (successes >= requiredTrialSuccesses || trialMs >= maximumTrialMs) {
             record.phase = { kind: "recovering", startedAt: now };
-            return { upstream, change: "recovering", reason: `${summary!.ok} trial requests were answered in time` };
-        }
-        if (trialMs >= maximumTrialMs) {
-            record.phase = { kind: "recovering", startedAt: now };
-            return { upstream, change: "recovering", reason: `no trial request failed in ${trialMs} ms` };
+            return { upstream, change: "recovering", reason: `the trial ended after ${Math.round(trialMs)} ms with ${successes} requests answered in time` };
         }
         if (now - phase.assignedAt >= trialAssignmentMs) {
             record.phase = { ...phase, assignedAt: now, assignedTo: this.chooseTrialInstance(upstream, record, input, phase.assignedTo) };
--- a/src/upstreamHealth/unusedUpstreamLog.ts
+++ b/src/upstreamHealth/unusedUpstreamLog.ts
@@ -33,7 +33,7 @@
         for (const [service, failures] of this.failures) {
             const upstreams = (upstreamPool.getServicePool(service)?.upstreams ?? []).filter(upstream => !upstream.isLeaving(now));
             const unused = upstreams.filter(upstream => now - table.getLastSentAt(upstream) >= unusedAfterMs)
-                .sort((a, b) => computeOrder(table.getEstimate(a).getUpdatedAt(), table.getEstimate(b).getUpdatedAt()));
+                .sort((a, b) => computeTimeDifference(table.getEstimate(a).getUpdatedAt(), table.getEstimate(b).getUpdatedAt()));
             if (unused.length > 0) {
                 logger.writeInfo("upstreams-unused", `${unused.length} of ${upstreams.length} upstreams of ${service} were sent no request for ${unusedAfterMs} ms while ${failures} attempts of this instance failed`, {
                     service,
@@ -62,7 +62,7 @@
     }
 }
 
-/** Orders times, of which several may be -Infinity. */
-function computeOrder(a: number, b: number): number {
+/** Computes the difference of two times, each of which may be -Infinity. */
+function computeTimeDifference(a: number, b: number): number {
     return a === b ? 0 : a - b;
 }
