--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -31,7 +31,7 @@
     });
     instances.forEach(instance => instance.start());
     for (const instance of instances) {
-        await fleet.waitFor(`${instance.name} is ready`, () => instance.isReady());
+        await fleet.waitUntilReady(instance);
     }
     await fleet.waitFor("all machines are registered", () => instances.every(({ name }) => store.items.has(`/agatebend/members/${name}`)));
     // Lookups in the background, by which the machines know the workers.
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -9,13 +9,19 @@
 const bounds = { graceS: 6, retryRatio: 0.2, retryWindowS: 10, retrySlack: 56 };
 export const host = "ficu95.example";
 
+/** Finds free ports below the range from which the system takes the ports of outgoing connections, so that none takes one before its process listens. */
 export async function findPorts(number) {
-    const servers = await Promise.all(Array.from({ length: number }, () => new Promise(resolve => {
-        const server = net.createServer().listen(0, "127.0.0.1", () => resolve(server));
-    })));
-    const ports = servers.map(server => server.address().port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
+    const found = new Set();
+    while (found.size < number) {
+        const port = 10_000 + Math.floor(Math.random() * 20_000);
+        const isFree = await new Promise(resolve => {
+            const server = net.createServer().once("error", () => resolve(false)).listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+        });
+        if (isFree) {
+            found.add(port);
+        }
+    }
+    return [...found];
 }
 
 function render(template, values) {
@@ -106,6 +112,16 @@
     return instances;
 }
 
+/** Waits until an instance is ready; the error says how its processes ended and what they wrote last. */
+export async function waitUntilReady(instance) {
+    try {
+        await waitFor(`${instance.name} is ready`, () => instance.isReady());
+    }
+    catch (error) {
+        throw new Error(`${error.message}; its exits: ${JSON.stringify(instance.exits)}; its last lines: ${instance.lines.slice(-3).join(" ")}`);
+    }
+}
+
 export async function waitFor(what, check, limitMs = 15_000) {
     const until = performance.now() + limitMs;
     while (!await check()) {
@@ -152,6 +168,13 @@
         fs.writeFileSync(path.join(directory, "record.txt"), `${lines.join("\n")}\n`);
         process.exit(code);
     };
+    // An exception outside of the case's own promise says nothing about the rule.
+    for (const event of ["uncaughtException", "unhandledRejection"]) {
+        process.on(event, error => {
+            record(`the case could not run: ${error?.stack ?? error}`);
+            void finish(2);
+        });
+    }
     process.on("SIGTERM", () => void finish(2));
     process.on("SIGINT", () => void finish(2));
     try {
