Send every path of the callers' port to its route where entry points have a port of their own

Ruled out: readiness and the operators' port, which forward nothing.

Without it the callers' port reserves the path, the settings' page says so, and a route that covers it is logged as route-shadowed. The handler for entry points is a class of its own, used by both ports.

--- a/src/callers/auxiliaryPorts.ts
+++ b/src/callers/auxiliaryPorts.ts
@@ -4,6 +4,7 @@
 import type * as context from "../kernel/context.js";
 import * as settings from "../settings/index.js";
 import type * as callerRequestHandler from "./callerRequestHandler.js";
+import type * as entriesHandler from "./entriesHandler.js";
 
 /** How long a connection to these ports may be idle before it is closed, in milliseconds. */
 const idleConnectionTimeoutMs = 10_000;
@@ -12,6 +13,7 @@
 export interface CreateAuxiliaryPortsOptions {
     readonly context: context.Context;
     readonly handler: callerRequestHandler.CallerRequestHandler;
+    readonly entries: entriesHandler.EntriesHandler;
 }
 
 /** Serves entry point requests and readiness checks at separate ports. */
@@ -22,9 +24,9 @@
 
     /** Opens the ports for which the settings give an address. */
     async start(): Promise<void> {
-        const { context: { settings: serveSettings }, handler: requestHandler } = this.options;
+        const { context: { settings: serveSettings }, handler: requestHandler, entries } = this.options;
         await this.openPort(serveSettings.entriesListen, (request, response) => {
-            if (!requestHandler.handleEntriesRequest(request, response)) {
+            if (!entries.handleRequest(request, response)) {
                 writeStatus(response, 404);
             }
         });
--- a/src/callers/callerRequestHandler.ts
+++ b/src/callers/callerRequestHandler.ts
@@ -1,4 +1,4 @@
-/** Handles callers' requests: answers requests for the fleet's entry points, and proxies all others to upstreams. */
+/** Handles callers' requests: passes those for the fleet's entry points on, and proxies all others to upstreams. */
 
 import type * as http from "node:http";
 import * as configuration from "../configuration/index.js";
@@ -6,12 +6,11 @@
 import * as errors from "../kernel/errors.js";
 import type * as kernel from "../kernel/kernel.js";
 import type * as orders from "../orders/index.js";
-import type * as peers from "../peers/index.js";
 import * as requests from "../requests/index.js";
 import * as responses from "./responses.js";
 import * as callerMetrics from "./callerMetrics.js";
 import * as drainAdmission from "./drainAdmission.js";
-import * as entryPoints from "./entryPoints.js";
+import type * as entriesHandler from "./entriesHandler.js";
 import * as parseRequest from "./parseRequest.js";
 import * as readBody from "./readBody.js";
 import * as requestLog from "./requestLog.js";
@@ -19,7 +18,6 @@
 
 /** How long after a caller's deadline the handler still waits for the result of the order, in milliseconds. */
 const orderResultGraceMs = 100;
-const entriesPath = "/v1/entries";
 /** The quantile of a route's latencies that decides which requests a stopping instance still takes. */
 const usualLatencyQuantile = 0.99;
 
@@ -27,7 +25,7 @@
 export interface CreateCallerRequestHandlerOptions {
     readonly context: context.Context;
     readonly configuration: configuration.ConfigurationService;
-    readonly mesh: peers.Mesh;
+    readonly entries: entriesHandler.EntriesHandler;
     readonly executor: requests.ExecutorContext;
     readonly orders: orders.OrderService;
     readonly lifecycle: kernel.Lifecycle;
@@ -84,9 +82,11 @@
     async handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         this.inFlightCount += 1;
         try {
-            if (!this.handleEntriesRequest(request, response)) {
-                await this.handleProxyRequest(request, response);
+            const { entries } = this.options;
+            if (entries.isPathReserved() && entries.handleRequest(request, response)) {
+                return;
             }
+            await this.handleProxyRequest(request, response);
         }
         catch (thrown) {
             this.options.context.logger.writeError("request-failed", "unexpected exception while handling a request", { error: errors.getErrorMessage(thrown) });
@@ -98,48 +98,12 @@
         }
     }
 
-    /**
-     * Answers the request if it asks for the fleet's entry points.
-     * @param request - The request.
-     * @param response - The response to the caller.
-     * @returns Whether the request asked for entry points.
-     */
-    handleEntriesRequest(request: http.IncomingMessage, response: http.ServerResponse): boolean {
-        const isEntries = request.method === "GET" && (request.url === entriesPath || request.url?.startsWith(`${entriesPath}?`) === true);
-        if (isEntries) {
-            this.answerEntriesRequest(request, response);
-        }
-        return isEntries;
-    }
-
     /** Returns whether the instance is running with a configuration that is not stale, so that callers may use it. */
     isReady(): boolean {
         const { lifecycle, configuration: configurationService } = this.options;
         return lifecycle.getState() === "running" && configurationService.getCurrent() !== undefined && !configurationService.isStale();
     }
 
-    private answerEntriesRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-        const { mesh, orders: orderService, configuration: configurationService, lifecycle, context: { settings } } = this.options;
-        const query = new URL(request.url ?? "", "http://fleet").searchParams;
-        const isRunning = lifecycle.getState() === "running" && !configurationService.isStale();
-        const prefix = isRunning ? orderService.createPrefix() : undefined;
-        const listedEntryPoints = entryPoints.listEntryPoints({
-            members: mesh.listMembers(),
-            workspace: query.get("workspace") ?? "",
-            failureDomain: query.get("failureDomain") ?? "",
-            quietAfterMs: entryPoints.computeQuietAfterMs(settings),
-        });
-        responses.writeJsonResponse(response, {
-            entries: listedEntryPoints,
-            addresses: entryPoints.listPreferredAddresses(listedEntryPoints, query.get("failureDomain") ?? ""),
-            keepForMs: settings.entriesTtlMs,
-            keepForS: settings.entriesTtlMs / 1_000,
-            orderKeyPrefix: prefix?.prefix,
-            orderKeyPrefixValidMs: prefix?.validMs,
-            configurationVersion: configurationService.getCurrent()?.head.version ?? 0,
-        });
-    }
-
     private async handleProxyRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
         const { context } = this.options;
         const startedAt = context.clock.getNow();
--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -13,6 +13,7 @@
 import * as callerServer from "./callerServer.js";
 import * as callerRequestHandler from "./callerRequestHandler.js";
 import * as auxiliaryPorts from "./auxiliaryPorts.js";
+import * as entriesHandler from "./entriesHandler.js";
 
 export type { CallerRequestHandler } from "./callerRequestHandler.js";
 
@@ -28,18 +29,24 @@
     create: context => {
         const mesh = context.services.getService(peers.meshKey);
         const orderService = context.services.getService(orders.orderServiceKey);
+        const configurationService = context.services.getService(configuration.configurationKey);
+        const lifecycle = context.services.getService(kernel.lifecycleKey);
+        const entries = new entriesHandler.EntriesHandler({ context, configuration: configurationService, mesh, orders: orderService, lifecycle });
         const requestHandler = new callerRequestHandler.CallerRequestHandler({
             context,
-            configuration: context.services.getService(configuration.configurationKey),
-            mesh,
+            configuration: configurationService,
+            entries,
             executor: context.services.getService(requests.executorKey),
             orders: orderService,
-            lifecycle: context.services.getService(kernel.lifecycleKey),
+            lifecycle,
         });
         context.services.setService(callerRequestHandlerKey, requestHandler);
         const server = new callerServer.CallerServer({ context, handler: requestHandler, mesh, orders: orderService, rejectQueued: () => context.services.getService(admission.admissionKey).rejectAllQueued(errors.createError("draining")) });
-        const auxiliary = new auxiliaryPorts.AuxiliaryPorts({ context, handler: requestHandler });
-        context.services.getService(configuration.configurationKey).addListener(({ document }) => server.setLimits(document.limits));
+        const auxiliary = new auxiliaryPorts.AuxiliaryPorts({ context, handler: requestHandler, entries });
+        configurationService.addListener(({ document }) => {
+            server.setLimits(document.limits);
+            entries.checkShadowedRoutes(document);
+        });
         return {
             start: async () => {
                 await context.services.getService(pool.leavingUpstreamsKey).waitUntilMarksRead(maximumMarksWaitMs);
--- a/src/settings/serveSettings.ts
+++ b/src/settings/serveSettings.ts
@@ -35,7 +35,7 @@
 
     callerListen: addressSchema.default("127.0.0.1:8080").describe("Where callers connect, as HOST:PORT; port 0 takes a free one."),
     callerAdvertise: optionalAddressSchema.default("").describe("The callers' address that entries answers give; the listening address where empty."),
-    entriesListen: optionalAddressSchema.default("").describe("Where entries answers are served besides the callers' port, as HOST:PORT; nowhere else where empty."),
+    entriesListen: optionalAddressSchema.default("").describe("Where entries answers are served, as HOST:PORT; where empty, the callers' port answers GET /v1/entries itself, ahead of every route."),
     readyListen: optionalAddressSchema.default("").describe("Where readiness is served besides the operators' port, as HOST:PORT; nowhere else where empty."),
     peerListen: addressSchema.default("127.0.0.1:7946").describe("Where peers connect, as HOST:PORT."),
     peerAdvertise: optionalAddressSchema.default("").describe("The address that peers are told; the listening address where empty."),
