Drain plug-ins together, each after those that depend on it

Cause: plug-ins drained one after the other. "membership" drained before "callers", only because of its name, and waited for the store. The callers' port computed the end of the shutdown from that later moment, past the time at which the platform kills the process.

Ruled out: the peers' news of the shutdown; without the outage entries answers leave the instance out at once.

Change: the kernel fixes the end of the shutdown when it begins. Plug-ins that do not depend on each other drain at the same time, none delays the exit past that end, and one that throws is logged instead of leaving the process running. A stopping instance no longer registers itself in the store again.

--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -6,12 +6,12 @@
 import type * as configuration from "../configuration/index.js";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
+import type * as plugins from "../kernel/plugins.js";
 import type * as orders from "../orders/index.js";
 import type * as peers from "../peers/index.js";
 import * as requests from "../requests/index.js";
 import * as settings from "../settings/index.js";
 import type * as callerRequestHandler from "./callerRequestHandler.js";
-import * as drainAdmission from "./drainAdmission.js";
 
 /** How often `drain` checks whether requests are still in flight, in milliseconds. */
 const drainPollIntervalMs = 20;
@@ -102,18 +102,17 @@
     /**
      * Shuts down gracefully. First, peers stop listing this instance as an entry point, responses ask callers to close
      * their connections, and callers with a cached list of entry points are still served until that list expires. Then
-     * the port is closed, and requests in flight may finish until the drain timeout.
+     * the port is closed, and requests in flight may finish until the shutdown ends.
+     * @param shutdown - The shutdown, with its end.
      */
-    async drain(): Promise<void> {
+    async drain({ endsAt }: plugins.Shutdown): Promise<void> {
         const { context: { settings: serveSettings, clock }, mesh, handler } = this.options;
-        const drainTimeoutMs = drainAdmission.computeDrainTimeoutMs(serveSettings);
-        const endsAt = clock.getNow() + drainTimeoutMs;
         mesh.setMember({ state: "draining" });
         this.isDraining = true;
         handler.setDrainEnd(endsAt);
         // Callers would send further requests on connections whose response began before the shutdown.
         [...this.openResponses].filter(response => !response.headersSent).forEach(response => response.setHeader("connection", "close"));
-        await this.wait(Math.min(drainTimeoutMs, serveSettings.entriesTtlMs + serveSettings.entriesGraceMs));
+        await this.wait(Math.min(Math.max(0, endsAt - clock.getNow()), serveSettings.entriesTtlMs + serveSettings.entriesGraceMs));
         this.server.close();
         this.server.closeIdleConnections();
         await this.waitForRequests(endsAt - queueRejectionLeadMs);
--- a/src/callers/drainAdmission.ts
+++ b/src/callers/drainAdmission.ts
@@ -1,17 +1,7 @@
 /** Which requests a stopping instance still takes. Needs no clock, timers or network. */
 
-import type * as settings from "../settings/index.js";
-
-/** Time before the platform kills the process in which connections close and the last log lines are written. */
-const exitReserveMs = 400;
 /** A request is expected to take at most this multiple of what 99 in 100 attempts of its route took, since it may also wait or be sent again. */
 const expectedMultiple = 2;
-const millisecondsPerSecond = 1_000;
-
-/** Returns how long a graceful shutdown may take, in milliseconds. */
-export function computeDrainTimeoutMs({ drainTimeoutMs, killAfterS }: Pick<settings.ServeSettings, "drainTimeoutMs" | "killAfterS">): number {
-    return killAfterS === 0 ? drainTimeoutMs : Math.min(drainTimeoutMs, Math.max(0, killAfterS * millisecondsPerSecond - exitReserveMs));
-}
 
 /** A request that arrives at a stopping instance. Times are in monotonic milliseconds. */
 export interface ArrivedRequest {
--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -53,7 +53,7 @@
                 await server.start();
                 await auxiliary.start();
             },
-            drain: () => server.drain(),
+            drain: shutdown => server.drain(shutdown),
             stop: async () => {
                 await server.stop();
                 await auxiliary.stop();
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -11,6 +11,7 @@
 import * as plugins from "./plugins.js";
 import * as randomness from "./randomness.js";
 import * as serviceRegistry from "./serviceRegistry.js";
+import * as shutdown from "./shutdown.js";
 
 /** Interval between two checks for a stall of the process. */
 const stallCheckIntervalMs = 250;
@@ -20,6 +21,9 @@
 /** Maximum wait for the remaining log lines to be written before the process exits. */
 const finalLogFlushTimeoutMs = 200;
 
+/** How long after the end of a shutdown plug-ins may still record what they cut. */
+const drainOverrunMs = 50;
+
 /** The lifecycle state of the process. */
 export type LifecycleState = "starting" | "running" | "draining" | "stopped";
 
@@ -40,7 +44,7 @@
 export class Kernel implements Lifecycle {
     /** The context that is passed to every plug-in. */
     readonly context: context.Context;
-    private readonly runningPlugins: { readonly name: string; readonly plugin: plugins.RunningPlugin; }[] = [];
+    private readonly runningPlugins: { readonly name: string; readonly dependsOn: readonly string[]; readonly plugin: plugins.RunningPlugin; }[] = [];
     private state: LifecycleState = "starting";
     private drainPromise?: Promise<void>;
     private readonly stopListeners: (() => void)[] = [];
@@ -61,7 +65,7 @@
     async start(): Promise<void> {
         const { identity, logger: log } = this.context;
         for (const plugin of plugins.listPlugins()) {
-            this.runningPlugins.push({ name: plugin.name, plugin: plugin.create(this.context) });
+            this.runningPlugins.push({ name: plugin.name, dependsOn: plugin.dependsOn, plugin: plugin.create(this.context) });
         }
         for (const { plugin } of this.runningPlugins) {
             await plugin.start?.();
@@ -84,7 +88,7 @@
         return this.state;
     }
 
-    /** Drains every plug-in in reverse dependency order, then stops them all. */
+    /** Drains the plug-ins, each one after those that depend on it, then stops them all. */
     drain(): Promise<void> {
         this.drainPromise ??= this.drainAndStop();
         return this.drainPromise;
@@ -123,14 +127,15 @@
     }
 
     private async drainAndStop(): Promise<void> {
+        const { clock: systemClock, loop: timers, logger: log, settings: serveSettings } = this.context;
+        const timeoutMs = shutdown.computeShutdownTimeoutMs(serveSettings);
         this.state = "draining";
-        this.context.logger.writeInfo("instance-draining", "graceful shutdown started");
-        const inReverseOrder = [...this.runningPlugins].reverse();
-        for (const { plugin } of inReverseOrder) {
-            await plugin.drain?.();
-        }
-        this.context.loop.stop();
-        for (const { plugin } of inReverseOrder) {
+        log.writeInfo("instance-draining", "graceful shutdown started", { timeoutMs });
+        const drained = shutdown.drainPlugins({ plugins: this.runningPlugins, shutdown: { endsAt: systemClock.getNow() + timeoutMs }, logger: log });
+        // A plug-in that waits for an external system must not delay the exit past the time at which the platform kills the process.
+        await Promise.race([drained, new Promise<void>(resolve => timers.scheduleOnce(timeoutMs + drainOverrunMs, resolve))]);
+        timers.stop();
+        for (const { plugin } of [...this.runningPlugins].reverse()) {
             await plugin.stop?.();
         }
         this.state = "stopped";
--- a/src/kernel/plugins.ts
+++ b/src/kernel/plugins.ts
@@ -3,14 +3,20 @@
 import type * as settings from "../settings/index.js";
 import type * as context from "./context.js";
 
+/** A graceful shutdown of the process. */
+export interface Shutdown {
+    /** When the shutdown ends and what is still in flight is cut, in monotonic milliseconds. */
+    readonly endsAt: number;
+}
+
 /** A running plug-in. */
 export interface RunningPlugin {
     /** Opens ports and starts timers. */
     readonly start?: () => Promise<void>;
     /** Applies changed settings, as far as that is possible without a restart. */
     readonly setSettings?: (changed: settings.ServeSettings) => void;
-    /** Accepts no new work and completes the work in flight. */
-    readonly drain?: () => Promise<void>;
+    /** Accepts no new work and completes the work in flight, until the shutdown ends. */
+    readonly drain?: (shutdown: Shutdown) => Promise<void>;
     /** Closes ports and connections. */
     readonly stop?: () => Promise<void>;
     /** Returns the plug-in's state for the dump, as plain data. */
--- /dev/null
+++ b/src/kernel/shutdown.ts
@@ -0,0 +1,48 @@
+/** The graceful shutdown: when it ends, and in which order plug-ins drain. */
+
+import type * as settings from "../settings/index.js";
+import * as errors from "./errors.js";
+import type * as logger from "./logger.js";
+import type * as plugins from "./plugins.js";
+
+/** Time before the platform kills the process in which connections close and the last log lines are written. */
+const exitReserveMs = 400;
+const millisecondsPerSecond = 1_000;
+
+/** Returns how long a graceful shutdown may take, in milliseconds. */
+export function computeShutdownTimeoutMs({ drainTimeoutMs, killAfterS }: Pick<settings.ServeSettings, "drainTimeoutMs" | "killAfterS">): number {
+    return killAfterS === 0 ? drainTimeoutMs : Math.min(drainTimeoutMs, Math.max(0, killAfterS * millisecondsPerSecond - exitReserveMs));
+}
+
+/** A plug-in that is to drain. */
+export interface DrainingPlugin {
+    readonly name: string;
+    readonly dependsOn: readonly string[];
+    readonly plugin: Pick<plugins.RunningPlugin, "drain">;
+}
+
+/** Options of draining the plug-ins. */
+export interface DrainPluginsOptions {
+    /** The plug-ins in dependency order. */
+    readonly plugins: readonly DrainingPlugin[];
+    readonly shutdown: plugins.Shutdown;
+    readonly logger: logger.Logger;
+}
+
+/**
+ * Drains every plug-in once all plug-ins that depend on it have drained. Plug-ins that do not depend on each other drain
+ * at the same time, so that none is delayed by another one's wait for an external system.
+ * @param options - The plug-ins and the shutdown.
+ */
+export async function drainPlugins({ plugins: draining, shutdown, logger: log }: DrainPluginsOptions): Promise<void> {
+    const drained = new Map<string, Promise<void>>();
+    for (const { name, plugin } of [...draining].reverse()) {
+        const dependents = draining.filter(({ dependsOn }) => dependsOn.includes(name)).flatMap(dependent => drained.get(dependent.name) ?? []);
+        const runDrain = async () => {
+            await Promise.all(dependents);
+            await plugin.drain?.(shutdown);
+        };
+        drained.set(name, runDrain().catch((thrown: unknown) => log.writeError("plugin-drain-failed", `the plug-in ${name} failed to drain; the shutdown goes on without it`, { plugin: name, error: errors.getErrorMessage(thrown) })));
+    }
+    await Promise.all(drained.values());
+}
--- a/src/membership/registration.ts
+++ b/src/membership/registration.ts
@@ -31,6 +31,7 @@
     private registeredAt = -Infinity;
     private membersReadAt = -Infinity;
     private isUpdating = false;
+    private isDraining = false;
 
     constructor(private readonly options: CreateRegistrationOptions) {}
 
@@ -42,6 +43,7 @@
 
     /** Removes the entry by ending its lease. */
     async drain(): Promise<void> {
+        this.isDraining = true;
         if (this.leaseId !== undefined) {
             const removed = await this.options.store.removeLease(this.leaseId);
             removed.mapErr(error => this.options.context.logger.writeInfo("member-entry-left", `could not remove the member entry from the store; it stays until its lease expires: ${error.message}`));
@@ -53,7 +55,7 @@
         const now = clock.getNow();
         const isRenewalDue = now - this.registeredAt >= settings.memberLeaseS * millisecondsPerSecond * leaseRenewalFraction;
         const isSeedLookupDue = mesh.listLinkedPeers().length === 0 && now - this.membersReadAt >= seedLookupIntervalMs;
-        if (this.isUpdating || (!isRenewalDue && !isSeedLookupDue)) {
+        if (this.isUpdating || this.isDraining || (!isRenewalDue && !isSeedLookupDue)) {
             return;
         }
         this.isUpdating = true;
@@ -81,7 +83,7 @@
         const expectedRevision = listed.value.find(entry => entry.key === key)?.revision ?? 0;
         const value = JSON.stringify({ peerAddress: mesh.getMember(identity.instanceId)?.peerAddress ?? "" });
         const written = await memberStore.swapEntry({ key, value, expectedRevision, leaseId: lease.value });
-        if (written.isErr() || written.value.kind === "conflict") {
+        if (written.isErr() || written.value.kind === "conflict" || this.isDraining) {
             await memberStore.removeLease(lease.value);
             return;
         }
--- a/test/callers/drainAdmission.test.ts
+++ b/test/callers/drainAdmission.test.ts
@@ -3,16 +3,6 @@
 import tap from "tap";
 import * as drainAdmission from "../../src/callers/drainAdmission.js";
 
-void tap.test("the time for a graceful shutdown", async t => {
-    const doTest = (drainTimeoutMs: number, killAfterS: number, expected: number) => t.equal(drainAdmission.computeDrainTimeoutMs({ drainTimeoutMs, killAfterS }), expected, `${drainTimeoutMs} ms, killed after ${killAfterS} s`);
-    doTest(900_000, 6, 5_600);
-    doTest(900_000, 10, 9_600);
-    doTest(900_000, 2.5, 2_100);
-    doTest(3_000, 10, 3_000);
-    doTest(900_000, 0, 900_000);
-    doTest(900_000, 0.1, 0);
-});
-
 void tap.test("a request that arrives during the shutdown", async t => {
     const drainEndsAt = 10_000;
     const doTest = (name: string, request: Omit<drainAdmission.ArrivedRequest, "drainEndsAt">, expected: boolean) => t.equal(drainAdmission.isFinishedBeforeEnd({ ...request, drainEndsAt }), expected, name);
--- /dev/null
+++ b/test/kernel/shutdown.test.ts
@@ -0,0 +1,59 @@
+/** Guards against a graceful shutdown that waits for an external system before it stops taking requests, or that never ends. */
+
+import tap from "tap";
+import type * as logger from "../../src/kernel/logger.js";
+import * as shutdown from "../../src/kernel/shutdown.js";
+
+void tap.test("the time for a graceful shutdown", async t => {
+    const doTest = (drainTimeoutMs: number, killAfterS: number, expected: number) => t.equal(shutdown.computeShutdownTimeoutMs({ drainTimeoutMs, killAfterS }), expected, `${drainTimeoutMs} ms, killed after ${killAfterS} s`);
+    doTest(900_000, 6, 5_600);
+    doTest(900_000, 10, 9_600);
+    doTest(900_000, 2.5, 2_100);
+    doTest(3_000, 10, 3_000);
+    doTest(900_000, 0, 900_000);
+    doTest(900_000, 0.1, 0);
+});
+
+/** Plug-ins that record when they drain; `waits` are promises that a plug-in's drain awaits. */
+async function listDrained(dependencies: Readonly<Record<string, readonly string[]>>, drains: Readonly<Record<string, () => Promise<void>>>) {
+    const events: string[] = [];
+    const failures: string[] = [];
+    const log = { writeError: (event: string) => void failures.push(event) } as unknown as logger.Logger;
+    const plugins = Object.entries(dependencies).map(([name, dependsOn]) => ({
+        name,
+        dependsOn,
+        plugin: {
+            drain: async () => {
+                events.push(`${name} begins`);
+                await drains[name]?.();
+                events.push(`${name} ends`);
+            },
+        },
+    }));
+    const ended = shutdown.drainPlugins({ plugins, shutdown: { endsAt: 0 }, logger: log });
+    await new Promise(resolve => setImmediate(resolve));
+    return { events, failures, ended };
+}
+
+void tap.test("plug-ins drain", async t => {
+    await t.test("a plug-in that waits for the store does not delay one that serves callers", async t => {
+        const { events } = await listDrained({ store: [], callers: ["store"], membership: ["store"] }, { membership: () => new Promise(() => {}) });
+        t.strictSame(events, ["membership begins", "callers begins", "callers ends"]);
+    });
+
+    await t.test("a plug-in drains after those that depend on it, directly or through others", async t => {
+        let endCallers = () => {};
+        const { events, ended } = await listDrained({ store: [], peers: ["store"], callers: ["peers"] }, { callers: () => new Promise(resolve => endCallers = resolve) });
+        t.strictSame(events, ["callers begins"]);
+        endCallers();
+        await ended;
+        t.strictSame(events, ["callers begins", "callers ends", "peers begins", "peers ends", "store begins", "store ends"]);
+    });
+
+    await t.test("a plug-in that fails to drain is logged, and the others drain", async t => {
+        const { events, failures, ended } = await listDrained({ peers: [], callers: ["peers"] }, { callers: () => Promise.reject(new Error("failed")) });
+        await ended;
+        t.strictSame(events, ["callers begins", "peers begins", "peers ends"]);
+        t.strictSame(failures, ["plugin-drain-failed"]);
+    });
+});
