Let a planned stop wait for responses that are still being written

Cause: the handler counted a request as done when its response was ended, not when it was written. Node's server.close() and closeIdleConnections() take such a connection for idle, too, and the exit destroyed what was left.

Ruled out: requests that come late (no head), bodies cut while received (in flight, and held until whole).

Change: in flight until the response is written or its connection closed; idle is measured by open responses and received bytes. What is left at the end is cut, counted and logged. The error "internal" is written before its connection closes. The other ports wait up to 100 ms for open responses.

--- a/src/callers/auxiliaryPorts.ts
+++ b/src/callers/auxiliaryPorts.ts
@@ -2,6 +2,7 @@
 
 import * as http from "node:http";
 import type * as context from "../kernel/context.js";
+import * as httpConnections from "../kernel/httpConnections.js";
 import * as settings from "../settings/index.js";
 import type * as callerRequestHandler from "./callerRequestHandler.js";
 import type * as entriesHandler from "./entriesHandler.js";
@@ -9,6 +10,9 @@
 /** How long a connection to these ports may be idle before it is closed, in milliseconds. */
 const idleConnectionTimeoutMs = 10_000;
 
+/** How long `stop` waits for responses that are still being written, in milliseconds; part of the time that a shutdown reserves for its end. */
+const finalResponsesTimeoutMs = 100;
+
 /** Options of the auxiliary ports. */
 export interface CreateAuxiliaryPortsOptions {
     readonly context: context.Context;
@@ -18,7 +22,7 @@
 
 /** Serves entry point requests and readiness checks at separate ports. */
 export class AuxiliaryPorts {
-    private readonly servers: http.Server[] = [];
+    private readonly connections: httpConnections.HttpConnections[] = [];
 
     constructor(private readonly options: CreateAuxiliaryPortsOptions) {}
 
@@ -33,12 +37,10 @@
         await this.openPort(serveSettings.readyListen, (_, response) => writeStatus(response, requestHandler.isReady() ? 200 : 503));
     }
 
-    /** Closes the ports and their connections. */
+    /** Closes the ports and their connections, after the responses that are still being written. */
     async stop(): Promise<void> {
-        for (const server of this.servers) {
-            server.close();
-            server.closeAllConnections();
-        }
+        await Promise.all(this.connections.map(connections => connections.waitUntilWritten(finalResponsesTimeoutMs)));
+        this.connections.forEach(connections => connections.closeAll());
     }
 
     private async openPort(address: string, handle: http.RequestListener): Promise<void> {
@@ -46,7 +48,7 @@
             return;
         }
         const server = http.createServer({ keepAliveTimeout: idleConnectionTimeoutMs, noDelay: true }, handle);
-        this.servers.push(server);
+        this.connections.push(new httpConnections.HttpConnections(server));
         const { host, port } = settings.parseAddress(address);
         await new Promise<void>((resolve, reject) => {
             server.once("error", reject);
--- a/src/callers/callerRequestHandler.ts
+++ b/src/callers/callerRequestHandler.ts
@@ -50,7 +50,7 @@
         this.routeSplitter = new configuration.RouteSplitter(options.context.randomness);
     }
 
-    /** Returns the number of requests that are being handled. */
+    /** Returns the number of requests that are being handled, or whose response is still being written. */
     countInFlightRequests(): number {
         return this.inFlightCount;
     }
@@ -90,10 +90,10 @@
         }
         catch (thrown) {
             this.options.context.logger.writeError("request-failed", "unexpected exception while handling a request", { error: errors.getErrorMessage(thrown) });
-            responses.writeErrorResponse(response, errors.createError("internal"), this.options.context);
-            response.destroy();
+            responses.writeFinalError(response, errors.createError("internal"), this.options.context);
         }
         finally {
+            await responses.waitUntilWritten(request.socket, response);
             this.inFlightCount -= 1;
         }
     }
@@ -156,8 +156,8 @@
             await this.runRequest(request, response, routedRequest, orderKeyText.value, startedAt);
         }
         finally {
-            this.inFlightRequests.delete(routedRequest);
             body.value.release();
+            void responses.waitUntilWritten(request.socket, response).then(() => this.inFlightRequests.delete(routedRequest));
         }
     }
 
--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -6,6 +6,7 @@
 import type * as configuration from "../configuration/index.js";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
+import * as httpConnections from "../kernel/httpConnections.js";
 import type * as plugins from "../kernel/plugins.js";
 import type * as orders from "../orders/index.js";
 import type * as peers from "../peers/index.js";
@@ -40,10 +41,8 @@
 export class CallerServer {
     private readonly server: http.Server;
     private isDraining = false;
-    private readonly openResponses = new Set<http.ServerResponse>();
+    private readonly connections: httpConnections.HttpConnections;
     private readonly cutRequests: promClient.Counter<"kind">;
-    /** The number of responses in progress on each connection. */
-    private readonly activeResponses = new WeakMap<net.Socket, number>();
 
     constructor(private readonly options: CreateCallerServerOptions) {
         const { context: { settings: serveSettings }, handler: requestHandler } = options;
@@ -58,14 +57,9 @@
             if (this.isDraining) {
                 response.setHeader("connection", "close");
             }
-            this.addActiveResponses(request.socket, 1);
-            this.openResponses.add(response);
-            response.once("close", () => {
-                this.openResponses.delete(response);
-                this.addActiveResponses(request.socket, -1);
-            });
             void requestHandler.handleRequest(request, response);
         });
+        this.connections = new httpConnections.HttpConnections(this.server);
         this.cutRequests = new promClient.Counter({
             name: "agatebend_drain_cut_requests_total",
             help: "Requests in flight at the end of a graceful shutdown, which were cut, by whether they may be repeated.",
@@ -111,20 +105,21 @@
         this.isDraining = true;
         handler.setDrainEnd(endsAt);
         // Callers would send further requests on connections whose response began before the shutdown.
-        [...this.openResponses].filter(response => !response.headersSent).forEach(response => response.setHeader("connection", "close"));
+        this.connections.listOpenResponses().filter(response => !response.headersSent).forEach(response => response.setHeader("connection", "close"));
         await this.wait(Math.min(Math.max(0, endsAt - clock.getNow()), serveSettings.entriesTtlMs + serveSettings.entriesGraceMs));
-        this.server.close();
-        this.server.closeIdleConnections();
+        this.connections.stopListening();
+        this.connections.closeIdle();
         await this.waitForRequests(endsAt - queueRejectionLeadMs);
         this.options.rejectQueued();
         await this.waitForRequests(endsAt);
         this.recordCutRequests();
+        // Requests that arrived from now on would be passed on and then cut.
+        this.connections.closeAll();
     }
 
     /** Closes the port and every connection. */
     async stop(): Promise<void> {
-        this.server.close();
-        this.server.closeAllConnections();
+        this.connections.closeAll();
     }
 
     private async waitForRequests(until: number): Promise<void> {
@@ -152,17 +147,13 @@
         return new Promise(resolve => this.options.context.loop.scheduleOnce(delayMs, resolve));
     }
 
-    private addActiveResponses(socket: net.Socket, delta: number): void {
-        this.activeResponses.set(socket, (this.activeResponses.get(socket) ?? 0) + delta);
-    }
-
     /**
      * Answers an invalid HTTP request with an error and closes the connection. If a response is in progress on the
      * connection, only closes it, because the error's bytes would corrupt that response.
      */
     private rejectClient(error: Error, socket: net.Socket): void {
         const code = "code" in error ? String(error.code) : "";
-        if (code === "ECONNRESET" || !socket.writable || (this.activeResponses.get(socket) ?? 0) > 0) {
+        if (code === "ECONNRESET" || !socket.writable || this.connections.countOpenResponses(socket) > 0) {
             socket.destroy();
             return;
         }
--- a/src/callers/responses.ts
+++ b/src/callers/responses.ts
@@ -1,6 +1,7 @@
 /** Writes HTTP responses to callers. */
 
 import type * as http from "node:http";
+import type * as net from "node:net";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import type * as orders from "../orders/index.js";
@@ -79,6 +80,41 @@
     response.end(upstreamResponse.body);
 }
 
+/**
+ * Writes an error as the last response of a connection. If a response has already started, only closes the connection.
+ * @param response - The response to the caller.
+ * @param error - The error.
+ * @param context - Supplies the instance's identifier.
+ */
+export function writeFinalError(response: http.ServerResponse, error: errors.FleetError, context: context.Context): void {
+    if (response.headersSent) {
+        response.destroy();
+        return;
+    }
+    response.setHeader("connection", "close");
+    writeErrorResponse(response, error, context);
+}
+
+/**
+ * Waits until a response was passed to the operating system completely, or its connection closed.
+ * @param socket - The caller's connection.
+ * @param response - The response to the caller.
+ */
+export function waitUntilWritten(socket: net.Socket, response: http.ServerResponse): Promise<void> {
+    if (response.closed || socket.destroyed) {
+        return Promise.resolve();
+    }
+    return new Promise(resolve => {
+        const finish = () => {
+            response.off("close", finish);
+            socket.off("close", finish);
+            resolve();
+        };
+        response.once("close", finish);
+        socket.once("close", finish);
+    });
+}
+
 /** Creates a signal that aborts when the caller's connection closes before the response is complete. */
 export function createDisconnectSignal(response: http.ServerResponse): AbortSignal {
     const controller = new AbortController();
--- a/src/kernel/index.ts
+++ b/src/kernel/index.ts
@@ -3,6 +3,7 @@
 export * as clock from "./clock.js";
 export type { Context, Identity } from "./context.js";
 export * as errors from "./errors.js";
+export * as httpConnections from "./httpConnections.js";
 export { Kernel, type Lifecycle, lifecycleKey, type LifecycleState } from "./kernel.js";
 export * as logger from "./logger.js";
 export * as loop from "./loop.js";
--- a/src/operators/operatorServer.ts
+++ b/src/operators/operatorServer.ts
@@ -3,6 +3,7 @@
 import * as crypto from "node:crypto";
 import * as http from "node:http";
 import type * as net from "node:net";
+import * as httpConnections from "../kernel/httpConnections.js";
 import * as settings from "../settings/index.js";
 import type * as operatorService from "./operatorService.js";
 
@@ -10,6 +11,8 @@
 const maximumMessageBytes = 64 * 1024 * 1024;
 /** The path prefix of RPC calls. */
 const rpcPathPrefix = "/agatebend.v1.OperatorService/";
+/** How long `stop` waits for responses that are still being written, in milliseconds; part of the time that a shutdown reserves for its end. */
+const finalResponsesTimeoutMs = 100;
 /** The paths that are served without the shared secret. */
 const unauthenticatedPaths: ReadonlySet<string> = new Set(["/healthz", "/readyz"]);
 
@@ -19,6 +22,7 @@
 /** Checks that operators' requests carry the shared secret, and answers them. */
 export class OperatorServer {
     private readonly server: http.Server;
+    private readonly connections: httpConnections.HttpConnections;
     private rpcListener?: Promise<http.RequestListener>;
 
     constructor(private readonly options: CreateOperatorServerOptions) {
@@ -31,6 +35,7 @@
         };
         const { tlsFiles } = options;
         this.server = tlsFiles === undefined ? http.createServer(handle) : process.getBuiltinModule("node:https").createServer({ ...tlsFiles }, handle);
+        this.connections = new httpConnections.HttpConnections(this.server);
     }
 
     /** Opens the port and announces its address to the peers. */
@@ -46,10 +51,10 @@
         this.options.context.logger.writeInfo("operators-port-open", `listening for operators at ${operatorAddress}`, { address: operatorAddress });
     }
 
-    /** Closes the port and every connection. */
+    /** Closes the port and every connection, after the responses that are still being written. */
     async stop(): Promise<void> {
-        this.server.close();
-        this.server.closeAllConnections();
+        await this.connections.waitUntilWritten(finalResponsesTimeoutMs);
+        this.connections.closeAll();
     }
 
     private async answerRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
