Bound the memory of bodies by what they cost, not by their bytes

What callers would see: eight requests at an upstream that sends chunks of one byte without end took an instance to 388 to 706 MiB (machines have 474 to 602); the process then ends with the requests of all callers. Connections of orders with a key stayed open past the deadline, those of such callers for good.

Cause: bodies were counted by their bytes and kept as Node's pieces, of some 450 bytes each. Orders with a key are awaited for 30 s past their deadline, also when their response had begun. Pieces that keep coming are no pause.

Ruled out: read buffers behind each piece; Node 20.19 copies pieces of chunked bodies to their own size.

--- a/src/callers/callerRequestHandler.ts
+++ b/src/callers/callerRequestHandler.ts
@@ -31,21 +31,23 @@
     readonly lifecycle: kernel.Lifecycle;
 }
 
+interface InFlightRequest {
+    readonly isRepeatable: boolean;
+}
+
 /** Handles the requests that arrive at the caller port. */
 export class CallerRequestHandler {
     private readonly metrics: callerMetrics.CallerMetrics;
-    private readonly bodyReader: readBody.BodyReader;
     private readonly retiredFeatureCallCounter = new retiredFeatureCalls.RetiredFeatureCallCounter();
     private readonly routeSplitter: configuration.RouteSplitter;
     private readonly requestLog: requestLog.RequestLog;
     private inFlightCount = 0;
     /** When a graceful shutdown ends, in monotonic milliseconds; undefined before one begins. */
     private drainEndsAt: number | undefined;
-    private readonly inFlightRequests = new Set<requests.RoutedRequest>();
+    private readonly inFlightRequests = new Set<InFlightRequest>();
 
     constructor(private readonly options: CreateCallerRequestHandlerOptions) {
         this.metrics = new callerMetrics.CallerMetrics(options.context);
-        this.bodyReader = new readBody.BodyReader(options.context);
         this.requestLog = new requestLog.RequestLog(options.context);
         this.routeSplitter = new configuration.RouteSplitter(options.context.randomness);
     }
@@ -57,7 +59,7 @@
 
     /** Returns the number of routed requests in flight: those that may be repeated, and orders. */
     countInFlightByKind(): { readonly repeatable: number; readonly orders: number; } {
-        const repeatable = [...this.inFlightRequests].filter(({ route }) => route.repeatable).length;
+        const repeatable = [...this.inFlightRequests].filter(({ isRepeatable }) => isRepeatable).length;
         return { repeatable, orders: this.inFlightRequests.size - repeatable };
     }
 
@@ -131,7 +133,13 @@
             await this.rejectRetiredFeature(request, response, orderKeyText.value, parsed.value);
             return;
         }
-        const body = await this.bodyReader.readBody(request, compiled.document.limits.bodyBytes);
+        if (!context.heldBytes.isAdmitted(route.rankIndex, compiled.document.ranks.length)) {
+            await this.rejectRequest(request, response, orderKeyText.value, readBody.createMemoryFullError());
+            return;
+        }
+        const reservation = context.heldBytes.createReservation();
+        reservation.releaseAfter(responses.waitUntilWritten(request.socket, response));
+        const body = await readBody.readBody({ context, request, limitBytes: compiled.document.limits.bodyBytes, reservation });
         if (body.isErr()) {
             await this.rejectRequest(request, response, orderKeyText.value, body.error);
             return;
@@ -140,7 +148,7 @@
             method: request.method ?? "",
             path: request.url ?? "",
             rawHeaders: request.rawHeaders,
-            body: body.value.body,
+            body: body.value,
             route,
             workspace,
             feature,
@@ -149,16 +157,13 @@
             deadlineHeader: compiled.document.callerHeaders.deadline,
             isOutcomeKept: false,
             trail: [],
+            reservation,
             signal: responses.createDisconnectSignal(response),
         };
-        this.inFlightRequests.add(routedRequest);
-        try {
-            await this.runRequest(request, response, routedRequest, orderKeyText.value, startedAt);
-        }
-        finally {
-            body.value.release();
-            void responses.waitUntilWritten(request.socket, response).then(() => this.inFlightRequests.delete(routedRequest));
-        }
+        const inFlightRequest: InFlightRequest = { isRepeatable: route.repeatable };
+        this.inFlightRequests.add(inFlightRequest);
+        void responses.waitUntilWritten(request.socket, response).then(() => this.inFlightRequests.delete(inFlightRequest));
+        await this.runRequest(request, response, routedRequest, orderKeyText.value, startedAt);
     }
 
     private async runRequest(request: http.IncomingMessage, response: http.ServerResponse, routedRequest: requests.RoutedRequest, orderKeyText: string | undefined, startedAt: number): Promise<void> {
@@ -182,7 +187,10 @@
             return;
         }
         const forwardedBy = requests.getHeaderValues(request.rawHeaders, requests.fleetHeaders.forwardedBy)[0];
-        const orderResult = await this.waitForOrderResult(orderService.runOrder(routedRequest, orderKeyText, forwardedBy), routedRequest.deadlineAt);
+        const run = orderService.runOrder(routedRequest, orderKeyText, forwardedBy);
+        // An order may continue after its caller was answered.
+        routedRequest.reservation.releaseAfter(run);
+        const orderResult = await this.waitForOrderResult(run, routedRequest.deadlineAt);
         responses.writeOrderResult(response, orderResult, context);
         const outcome = orderResult.kind === "answer" ? orderResult.outcome : errors.getErrorDefinition(orderResult.error).outcome;
         this.recordCompletion(routedRequest, startedAt, { outcome, status: response.statusCode, attempts: orderResult.attempts, error: orderResult.kind === "error" ? orderResult.error : undefined, body: "none" });
--- a/src/callers/readBody.ts
+++ b/src/callers/readBody.ts
@@ -2,76 +2,72 @@
 
 import type * as http from "node:http";
 import { err, ok, type Result } from "neverthrow";
+import * as bodyBuffer from "../kernel/bodyBuffer.js";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
+import * as framingCheck from "../kernel/framingCheck.js";
+import type * as heldBytes from "../kernel/heldBytes.js";
 
-/** Reads request bodies and limits the memory that they occupy together. */
-export class BodyReader {
-    private bufferedBytes = 0;
-
-    constructor(private readonly context: context.Context) {}
+/** Options of reading a request body. */
+export interface ReadBodyOptions {
+    readonly context: context.Context;
+    readonly request: http.IncomingMessage;
+    /** The size limit of the configuration, in bytes; the limit of the settings also applies. */
+    readonly limitBytes?: number;
+    /** Accounts for the memory of the body. */
+    readonly reservation: heldBytes.Reservation;
+}
 
-    /** Returns the total size of the request bodies in memory, in bytes. */
-    getBufferedBytes(): number {
-        return this.bufferedBytes;
+/** Reads a complete request body. */
+export function readBody({ context, request, limitBytes = Infinity, reservation }: ReadBodyOptions): Promise<Result<Buffer, errors.FleetError>> {
+    const { settings, loop } = context;
+    const maximumBytes = Math.min(limitBytes, settings.requestBodyBytes);
+    const declaredBytes = Number(request.headers["content-length"] ?? 0);
+    if (declaredBytes > maximumBytes) {
+        return Promise.resolve(err(createBodyTooLargeError(maximumBytes)));
     }
-
-    /**
-     * Reads a complete body.
-     * @param request - The request.
-     * @param limitBytes - The size limit of the configuration; the limit of the settings also applies.
-     * @returns The body, and a function that subtracts it from the memory in use. Call it when the body is no longer needed.
-     */
-    readBody(request: http.IncomingMessage, limitBytes = Infinity): Promise<Result<{ readonly body: Buffer; readonly release: () => void; }, errors.FleetError>> {
-        const { settings, loop } = this.context;
-        const maximumBytes = Math.min(limitBytes, settings.requestBodyBytes);
-        const declaredBytes = Number(request.headers["content-length"] ?? 0);
-        if (declaredBytes > maximumBytes) {
-            return Promise.resolve(err(createBodyTooLargeError(maximumBytes)));
-        }
-        return new Promise(resolve => {
-            const chunks: Buffer[] = [];
-            let receivedBytes = 0;
-            let cancelIdleTimer = () => {};
-            const startIdleTimer = () => {
-                cancelIdleTimer();
-                cancelIdleTimer = loop.scheduleOnce(settings.bodyIdleTimeoutMs, () => fail(errors.createError("badRequest", `received no body data for ${settings.bodyIdleTimeoutMs} ms`)));
-            };
-            const stop = () => {
-                cancelIdleTimer();
-                request.removeAllListeners("data");
-            };
-            const release = () => {
-                this.bufferedBytes -= receivedBytes;
-                receivedBytes = 0;
-            };
-            const fail = (error: errors.FleetError) => {
-                stop();
-                release();
-                resolve(err(error));
-            };
-            request.on("error", () => fail(errors.createError("callerGone")));
-            request.on("close", () => fail(errors.createError("callerGone")));
-            request.on("data", (chunk: Buffer) => {
-                startIdleTimer();
-                receivedBytes += chunk.length;
-                this.bufferedBytes += chunk.length;
-                chunks.push(chunk);
-                if (receivedBytes > maximumBytes) {
-                    fail(createBodyTooLargeError(maximumBytes));
-                }
-                else if (this.bufferedBytes > settings.requestBytesHeld) {
-                    fail(errors.createError("overloaded", `the request bodies in memory exceed the limit of ${settings.requestBytesHeld} bytes`));
-                }
-            });
-            request.on("end", () => {
-                stop();
-                request.removeAllListeners("close");
-                resolve(ok({ body: Buffer.concat(chunks), release }));
-            });
+    return new Promise(resolve => {
+        const body = new bodyBuffer.BodyBuffer({ maximumBytes, reservation, kind: "request" });
+        const isFramingInProportion = framingCheck.createFramingCheck(request.socket);
+        let cancelIdleTimer = () => {};
+        const startIdleTimer = () => {
+            cancelIdleTimer();
+            cancelIdleTimer = loop.scheduleOnce(settings.bodyIdleTimeoutMs, () => fail(errors.createError("badRequest", `received no body data for ${settings.bodyIdleTimeoutMs} ms`)));
+        };
+        const stop = () => {
+            cancelIdleTimer();
+            request.off("data", onData);
+        };
+        const fail = (error: errors.FleetError) => {
+            stop();
+            body.removeAll();
+            resolve(err(error));
+        };
+        const onData = (piece: Buffer) => {
             startIdleTimer();
+            const failure = body.add(piece);
+            if (failure !== undefined) {
+                fail(failure === "tooLarge" ? createBodyTooLargeError(maximumBytes) : createMemoryFullError());
+            }
+            else if (!isFramingInProportion(body.getLength())) {
+                fail(errors.createError("badRequest", "the chunk extensions of the body are out of proportion to its bytes"));
+            }
+        };
+        request.on("error", () => fail(errors.createError("callerGone")));
+        request.on("close", () => fail(errors.createError("callerGone")));
+        request.on("data", onData);
+        request.on("end", () => {
+            stop();
+            request.removeAllListeners("close");
+            resolve(ok(body.takeBody()));
         });
-    }
+        startIdleTimer();
+    });
+}
+
+/** Creates the error of a request for whose body the process has no memory left. */
+export function createMemoryFullError(): errors.FleetError {
+    return errors.createError("overloaded", "the request and response bodies in this process occupy the memory that they may");
 }
 
 function createBodyTooLargeError(limitBytes: number): errors.FleetError {
--- a/src/kernel/context.ts
+++ b/src/kernel/context.ts
@@ -4,6 +4,7 @@
 import type * as settings from "../settings/index.js";
 import type * as clock from "./clock.js";
 import type * as events from "./events.js";
+import type * as heldBytes from "./heldBytes.js";
 import type * as logger from "./logger.js";
 import type * as loop from "./loop.js";
 import type * as randomness from "./randomness.js";
@@ -28,4 +29,5 @@
     readonly metrics: promClient.Registry;
     readonly services: serviceRegistry.ServiceRegistry;
     readonly eventLog: events.EventLog;
+    readonly heldBytes: heldBytes.HeldBytes;
 }
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -5,6 +5,7 @@
 import * as clock from "./clock.js";
 import type * as context from "./context.js";
 import * as events from "./events.js";
+import * as heldBytes from "./heldBytes.js";
 import * as logger from "./logger.js";
 import * as logSink from "./logSink.js";
 import * as loop from "./loop.js";
@@ -179,5 +180,6 @@
         metrics,
         services: new serviceRegistry.ServiceRegistry(),
         eventLog: eventLog,
+        heldBytes: new heldBytes.HeldBytes({ limitBytes: heldBytes.computeLimitBytes(options), logger: log, registry: metrics }),
     };
 }
--- a/src/orders/forwardOrder.ts
+++ b/src/orders/forwardOrder.ts
@@ -46,7 +46,7 @@
             cancelConnect();
         });
         sent.on("response", response => {
-            void requests.readResponse({ context, response, maximumBytes: currentSettings.requestBodyBytes, readUntil: request.deadlineAt + responseGraceMs }).then(read => {
+            void requests.readResponse({ context, response, maximumBytes: currentSettings.requestBodyBytes, reservation: request.reservation, readUntil: request.deadlineAt + responseGraceMs }).then(read => {
                 if (read.isErr()) {
                     reject(`its response could not be read: ${read.error}`);
                     return;
--- a/src/requests/relayBody.ts
+++ b/src/requests/relayBody.ts
@@ -2,6 +2,9 @@
 
 import type * as http from "node:http";
 import type * as context from "../kernel/context.js";
+import * as framingCheck from "../kernel/framingCheck.js";
+import type * as heldBytes from "../kernel/heldBytes.js";
+import * as bodyWriter from "./bodyWriter.js";
 import * as responseIntegrity from "./responseIntegrity.js";
 import * as rangeResume from "./rangeResume.js";
 
@@ -28,6 +31,8 @@
     readonly context: context.Context;
     readonly response: http.IncomingMessage;
     readonly caller: http.ServerResponse;
+    /** Accounts for the memory of the part of the body that is buffered. */
+    readonly reservation: heldBytes.Reservation;
     /** Writes the response headers to the caller; called once, before the first byte of the body. */
     readonly writeHeader: () => void;
     /** A body is buffered until it is complete or exceeds this size, so that the request can be retried if it breaks before. 0 disables buffering. */
@@ -45,43 +50,6 @@
 /** How the body of one upstream response ended. */
 type PartResult = "ended" | "broken" | "tooLarge" | "callerGone";
 
-/** Writes a body to the caller and buffers its first bytes. */
-class BufferingWriter {
-    private buffered: Buffer[] | undefined = [];
-    private bufferedBytes = 0;
-
-    constructor(private readonly options: RelayBodyOptions) {
-        if (options.bufferLimitBytes === 0) {
-            this.writeBuffered();
-        }
-    }
-
-    /** Returns whether nothing of the response has been written to the caller. */
-    isBuffering(): boolean {
-        return this.buffered !== undefined;
-    }
-
-    /** Buffers or writes a chunk; returns false if the caller's socket applies backpressure. */
-    write(chunk: Buffer): boolean {
-        if (this.buffered === undefined) {
-            return this.options.caller.write(chunk);
-        }
-        this.buffered.push(chunk);
-        this.bufferedBytes += chunk.length;
-        return this.bufferedBytes <= this.options.bufferLimitBytes ? true : this.writeBuffered();
-    }
-
-    /** Writes the response headers and the buffered chunks; returns false if the caller's socket applies backpressure. */
-    writeBuffered(): boolean {
-        const chunks = this.buffered ?? [];
-        if (this.buffered !== undefined) {
-            this.buffered = undefined;
-            this.options.writeHeader();
-        }
-        return chunks.map(chunk => this.options.caller.write(chunk)).at(-1) ?? true;
-    }
-}
-
 /**
  * Relays a body until it is complete, the caller disconnects, or it breaks and cannot be continued.
  * @param options - The response, the caller and the limits.
@@ -89,7 +57,7 @@
  */
 export async function relayBody(options: RelayBodyOptions): Promise<RelayResult> {
     const { caller, resumable, context: { settings } } = options;
-    const writer = new BufferingWriter(options);
+    const writer = new bodyWriter.BodyWriter(options);
     const maximumBytes = options.response.headers["content-length"] === undefined ? settings.unsizedBodyBytes : Infinity;
     let bytes = 0;
     let part: http.IncomingMessage | undefined = options.response;
@@ -101,19 +69,20 @@
         if (result === "callerGone") {
             return { kind: "callerGone", bytes };
         }
-        if (result === "tooLarge" && !writer.isBuffering()) {
+        if (result === "tooLarge" && !writer.isHoldingBack()) {
             caller.destroy();
             return { kind: "tooLarge", bytes };
         }
         const isComplete = resumable === undefined ? result === "ended" : bytes === resumable.length;
         if (isComplete) {
-            writer.writeBuffered();
+            writer.writeHeldBack();
             caller.end();
             return { kind: "whole", bytes };
         }
         part = resumable === undefined || bytes > resumable.length ? undefined : await options.openContinuation(resumable, bytes);
     }
-    if (writer.isBuffering()) {
+    if (writer.isHoldingBack()) {
+        writer.removeHeldBack();
         return { kind: "unstarted" };
     }
     caller.destroy();
@@ -121,13 +90,16 @@
 }
 
 /** Relays the body of one upstream response: the original one or a continuation. `onBytes` returns whether the body may go on. */
-function relayPart(options: RelayBodyOptions, writer: BufferingWriter, part: http.IncomingMessage, onBytes: (count: number) => boolean): Promise<PartResult> {
+function relayPart(options: RelayBodyOptions, writer: bodyWriter.BodyWriter, part: http.IncomingMessage, onBytes: (count: number) => boolean): Promise<PartResult> {
     const { caller, context: { loop, settings } } = options;
     const idleMs = options.resumable === undefined ? settings.bodyIdleTimeoutMs : Math.min(resumableIdleTimeoutMs, settings.bodyIdleTimeoutMs);
     return new Promise(resolve => {
+        const isFramingInProportion = framingCheck.createFramingCheck(part.socket);
+        let partBytes = 0;
         let cancelIdleTimer = () => {};
         const finish = (result: PartResult) => {
             cancelIdleTimer();
+            writer.setBackpressureListener(() => {});
             caller.off("drain", resume);
             caller.off("close", onCallerClose);
             part.off("data", onData);
@@ -138,8 +110,8 @@
         };
         const startIdleTimer = () => {
             cancelIdleTimer();
-            const idleLimitMs = writer.isBuffering() && options.hasRetryLeft() ? Math.min(bufferingIdleTimeoutMs, idleMs) : idleMs;
-            const limitMs = writer.isBuffering() ? Math.min(idleLimitMs, options.getRemainingMs()) : idleMs;
+            const idleLimitMs = writer.isHoldingBack() && options.hasRetryLeft() ? Math.min(bufferingIdleTimeoutMs, idleMs) : idleMs;
+            const limitMs = writer.isHoldingBack() ? Math.min(idleLimitMs, options.getRemainingMs()) : idleMs;
             cancelIdleTimer = loop.scheduleOnce(Math.max(0, limitMs), () => finish("broken"));
         };
         // The idle timer is stopped while a slow caller applies backpressure, because the upstream does not cause that pause.
@@ -149,18 +121,24 @@
         };
         const onCallerClose = () => finish("callerGone");
         const onData = (chunk: Buffer) => {
+            partBytes += chunk.length;
             if (!onBytes(chunk.length)) {
                 finish("tooLarge");
                 return;
             }
-            if (writer.write(chunk)) {
-                startIdleTimer();
+            if (!isFramingInProportion(partBytes)) {
+                finish("broken");
                 return;
             }
+            startIdleTimer();
+            writer.write(chunk);
+        };
+        const onBackpressure = () => {
             cancelIdleTimer();
             part.pause();
         };
         const finishPart = () => finish(responseIntegrity.isComplete(part) ? "ended" : "broken");
+        writer.setBackpressureListener(onBackpressure);
         caller.on("drain", resume);
         caller.on("close", onCallerClose);
         part.on("error", () => finish("broken"));
--- a/src/requests/runAtMostOnce.ts
+++ b/src/requests/runAtMostOnce.ts
@@ -12,6 +12,9 @@
 /** How long past its deadline an order is still awaited, so that a later request with the same order key can get the outcome. */
 const outcomeGraceMs = 30_000;
 
+/** How long the body of a response is awaited that begins at or past the deadline. */
+const bodyGraceMs = 1_000;
+
 /** The final result of a request; `attempts` counts the attempts that got a slot. */
 export type AtMostOnceResult =
     | { readonly kind: "answer"; readonly outcome: errors.Outcome; readonly response: types.BufferedResponse; readonly attempts: number; }
@@ -84,7 +87,8 @@
             return { kind: "error", error: errors.createError("deadlineAfterSend"), attempts };
         })
         .with({ kind: "answered" }, async ({ response }): Promise<StepResult> => {
-            const read = await readResponse.readResponse({ context: executor.context, response, maximumBytes: executor.context.settings.requestBodyBytes, readUntil: waitUntil });
+            const readUntil = Math.min(waitUntil, Math.max(request.deadlineAt, clock.getNow() + bodyGraceMs));
+            const read = await readResponse.readResponse({ context: executor.context, response, maximumBytes: executor.context.settings.requestBodyBytes, reservation: request.reservation, readUntil });
             if (read.isErr()) {
                 release(read.error === "late" ? "timedOut" : "failed");
                 return { kind: "error", error: createReadError(read.error, response.statusCode ?? 0), attempts };
@@ -102,6 +106,6 @@
     return match(failure === "tooLarge" && status >= 500 ? "broken" : failure)
         .with("broken", () => errors.createError("answerLost", "the upstream responded, but the response body broke off"))
         .with("late", () => errors.createError("deadlineAfterSend", "the upstream responded, but the response body did not end before the deadline"))
-        .with("tooLarge", () => errors.createError("orderAnswerNotKept", "the upstream responded, but the response body is larger than an instance may buffer"))
+        .with("tooLarge", () => errors.createError("orderAnswerNotKept", "the upstream responded, but the response body is larger than the instance may buffer"))
         .exhaustive();
 }
--- a/src/requests/runWithRetries.ts
+++ b/src/requests/runWithRetries.ts
@@ -212,6 +212,7 @@
         context: executor.context,
         response,
         caller,
+        reservation: request.reservation,
         writeHeader: () => {
             caller.writeHead(status, [
                 ...headers.removeFleetHeaders(headers.listEndToEndHeaders(response.rawHeaders)),
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -1,6 +1,7 @@
 /** The request and response types that the executors and the order service share. */
 
 import type * as configuration from "../configuration/index.js";
+import type * as heldBytes from "../kernel/heldBytes.js";
 
 /** A caller's request after validation and route matching, with its body in memory. */
 export interface RoutedRequest {
@@ -23,6 +24,8 @@
     readonly isOutcomeKept: boolean;
     /** The result of each attempt, for the request log; every attempt appends an entry. */
     readonly trail: string[];
+    /** Accounts for the memory of the request's and the response's body. */
+    readonly reservation: heldBytes.Reservation;
     /** Aborted when the caller disconnects. */
     readonly signal: AbortSignal;
 }
--- a/src/store/etcdStore.ts
+++ b/src/store/etcdStore.ts
@@ -4,6 +4,7 @@
 import type * as https from "node:https";
 import { err, ok, type Result } from "neverthrow";
 import * as z from "zod";
+import * as bodyBuffer from "../kernel/bodyBuffer.js";
 import * as boundedJson from "../kernel/boundedJson.js";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
@@ -11,7 +12,7 @@
 import * as callRateLimiter from "./callRateLimiter.js";
 import type * as types from "./types.js";
 
-const maximumResponseCharacters = 64 * 1024 * 1024;
+const maximumResponseBytes = 64 * 1024 * 1024;
 /** A watch must be established within this multiple of the call timeout. */
 const watchConnectTimeoutFactor = 2;
 
@@ -174,16 +175,14 @@
                 reject("the connection closed");
             });
             httpRequest.on("response", response => {
-                let text = "";
-                response.setEncoding("utf8");
-                response.on("data", (chunk: string) => {
-                    text += chunk;
-                    if (text.length > maximumResponseCharacters) {
-                        httpRequest.destroy(new Error(`the response exceeds ${maximumResponseCharacters} characters`));
+                const responseBody = new bodyBuffer.BodyBuffer({ maximumBytes: maximumResponseBytes, kind: "response" });
+                response.on("data", (piece: Buffer) => {
+                    if (responseBody.add(piece) !== undefined) {
+                        httpRequest.destroy(new Error(`the response exceeds ${maximumResponseBytes} bytes`));
                     }
                 });
                 response.on("error", error => reject(errors.getErrorMessage(error)));
-                response.on("end", () => response.statusCode === 200 ? resolve(ok(text)) : reject(`status ${response.statusCode}`));
+                response.on("end", () => response.statusCode === 200 ? resolve(ok(responseBody.takeBody().toString("utf8"))) : reject(`status ${response.statusCode}`));
             });
             httpRequest.end(body);
         });
@@ -203,6 +202,9 @@
     stream.on("data", (chunk: string) => {
         const lines = (incompleteLine + chunk).split("\n");
         incompleteLine = lines.pop() ?? "";
+        if (incompleteLine.length > maximumResponseBytes) {
+            stream.destroy();
+        }
         lines.filter(line => line.trim() !== "").forEach(onLine);
     });
 }
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -34,8 +34,13 @@
     endlessBody: { first: (head: string) => `${head}Connection: close\r\n\r\n`, repeated: "x".repeat(8_192) },
     endlessChunks: { first: (head: string) => `${head}Transfer-Encoding: chunked\r\n\r\n`, repeated: `2000\r\n${"x".repeat(8_192)}\r\n` },
     endlessTrickle: { first: (head: string) => `${head}Transfer-Encoding: chunked\r\n\r\n`, repeated: "1\r\nx\r\n" },
+    endlessExtensions: { first: (head: string) => `${head}Transfer-Encoding: chunked\r\n\r\n`, repeated: `1;${"x".repeat(100)}\r\nx\r\n`.repeat(2_000) },
+    endlessPieces: { first: (head: string) => `${head}Transfer-Encoding: chunked\r\n\r\n`, repeated: "1\r\nx\r\n".repeat(20_000) },
+    endlessChunkSize: { first: (head: string) => `${head}Transfer-Encoding: chunked\r\n\r\n`, repeated: "0".repeat(65_536) },
     endlessRefusal: { first: (head: string) => `${head.replace("200 OK", "503 Service Unavailable")}Not-Executed: 1\r\nConnection: close\r\n\r\n`, repeated: "x".repeat(8_192) },
 } as const;
+/** Endless responses that are sent as fast as the caller reads; the others pause between their pieces. */
+const fastResponses: ReadonlySet<string> = new Set<keyof typeof endlessResponses>(["endlessExtensions", "endlessPieces", "endlessChunkSize"]);
 /** The pause between two pieces of an endless response. */
 const endlessPauseMs = 2;
 
@@ -63,6 +68,9 @@
                     socket.write(repeated);
                 }
             }, endlessPauseMs);
+            if (fastResponses.has(name)) {
+                socket.on("drain", () => socket.write(repeated));
+            }
             socket.once("close", () => clearInterval(timer));
         };
         const endlessNames = Object.keys(endlessResponses) as (keyof typeof endlessResponses)[];
