--- a/test/settings/platformValues.test.ts
+++ b/test/settings/platformValues.test.ts
@@ -35,6 +35,7 @@
     "bounds.retryWindowS": optional(decimal(3_600)),
     "bounds.retrySlack": optional(decimal(1e7)),
     "bounds.graceS": optional(decimal(3_600)),
+    "limits.memoryMb": optional(decimal(1_048_576)),
 });
 
 void tap.test("every value that the platform may fill in is accepted", async t => {
