Refuse an order at once that the last upstream without a pause has refused

Cause: requests with an earlier attempt were never refused during a pause, since an upstream might have run it; an order is sent again only if none has.

Change: what counts is whether an attempt may have run.

--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -214,13 +214,13 @@
         }
     }
 
-    /** Rejects first attempts while every upstream has asked for a pause. A request that was already sent has nothing to gain from a rejection and waits. */
+    /** Rejects requests that no upstream has run while every upstream has asked for a pause. Others have nothing to gain from a rejection and wait. */
     private rejectDuringPause(queue: QueuedRequest[], upstreams: readonly pool.Upstream[], now: number): void {
         const isAnyTaking = upstreams.some(candidate => !candidate.isLeaving(now) && candidate.getRequestedPauseMs(now) === 0);
         if (isAnyTaking || upstreams.length === 0) {
             return;
         }
-        for (const queued of queue.filter(({ request }) => !request.isRetry)) {
+        for (const queued of queue.filter(({ request }) => !request.mayHaveRun)) {
             const retryAfterMs = requestedPauses.computeRefusalDelayMs({ upstreams, now, targetLatencyMs: queued.request.targetLatencyMs });
             if (retryAfterMs !== undefined) {
                 queue.splice(queue.indexOf(queued), 1);
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -15,6 +15,8 @@
     readonly canRetry: boolean;
     /** Whether this is a later attempt of the request. Retries are queued at the head of their rank. */
     readonly isRetry: boolean;
+    /** Whether an upstream may have run an earlier attempt. A request that none has run can be refused as not executed. */
+    readonly mayHaveRun: boolean;
     /** Monotonic time in milliseconds. */
     readonly deadlineAt: number;
     /** The route's target latency, or its deadline if it has none, in milliseconds. */
--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -147,7 +147,7 @@
      * @param excludedUpstreamIds - Identifiers of the upstreams that were already tried; cleared if no other routable upstream is left.
      * @param progress - Whether an earlier attempt held a slot, and whether the request can be retried if this attempt fails.
      */
-    acquireSlot(request: types.RoutedRequest, excludedUpstreamIds: Set<string>, progress: { readonly isRetry: boolean; readonly canRetry: boolean; }): Promise<Result<admission.Slot, errors.FleetError>> {
+    acquireSlot(request: types.RoutedRequest, excludedUpstreamIds: Set<string>, progress: Pick<admission.SlotRequest, "isRetry" | "canRetry" | "mayHaveRun">): Promise<Result<admission.Slot, errors.FleetError>> {
         const { route } = request;
         const now = this.context.clock.getNow();
         const upstreams = this.options.pool.getServicePool(route.service)?.upstreams ?? [];
--- a/src/requests/runAtMostOnce.ts
+++ b/src/requests/runAtMostOnce.ts
@@ -33,7 +33,7 @@
     const excludedUpstreamIds = new Set<string>();
     executor.getRetryBudget(request.route.service).recordRequest();
     for (let attempts = 1;; attempts += 1) {
-        const slot = await executor.acquireSlot(request, excludedUpstreamIds, { isRetry: attempts > 1, canRetry: false });
+        const slot = await executor.acquireSlot(request, excludedUpstreamIds, { isRetry: attempts > 1, canRetry: false, mayHaveRun: false });
         if (slot.isErr()) {
             return { kind: "error", error: slot.error, attempts: attempts - 1 };
         }
--- a/src/requests/runWithRetries.ts
+++ b/src/requests/runWithRetries.ts
@@ -73,7 +73,7 @@
     const service = request.route.service;
     while (true) {
         const canRetry = progress.sentAttempts + 1 < request.route.maximumAttempts && executor.getRetryBudget(service).getRemainingRetries() >= 1;
-        const slot = await executor.acquireSlot(request, progress.excludedUpstreamIds, { isRetry: progress.attempts > 0, canRetry });
+        const slot = await executor.acquireSlot(request, progress.excludedUpstreamIds, { isRetry: progress.attempts > 0, canRetry, mayHaveRun: progress.sentAttempts > 0 });
         if (slot.isErr()) {
             return { kind: "error", error: createUnansweredError(slot.error, progress.sentAttempts) };
         }
--- a/test/integration.leavingWorkers.test.ts
+++ b/test/integration.leavingWorkers.test.ts
@@ -106,13 +106,32 @@
         });
         await processes.waitFor("both pauses have been asked for", async () => (await instance.send("/look/1")).headers["x-agatebend-error"] === "overloaded");
         const startedAt = performance.now();
-        const refused = await instance.send("/order/1", { method: "POST", body: "x" });
+        const refused = await instance.send("/order/1", { method: "POST", body: "x", requestId: "paused-order" });
+        const answeredMs = performance.now() - startedAt;
         t.equal(refused.status, 503);
-        t.ok(performance.now() - startedAt < 500, "without waiting for the deadline");
+        const line = await processes.waitFor("the refusal is logged", () => instance.listLogs("request-refused").find(({ context }) => context.requestId === "paused-order"));
+        t.ok(answeredMs < 500, `without waiting for the deadline: ${Math.round(answeredMs)} ms, ${JSON.stringify(line.context)}`);
         const retryAfterS = Number(refused.headers["retry-after"]);
         t.ok(retryAfterS > 0 && retryAfterS <= pauseS + 1, `Retry-After is ${retryAfterS}, the shortest time left`);
     });
 
+    await t.test("an order that the last worker refuses is refused at once, not when its deadline passes", async t => {
+        await first!.setBehaviour({ retryAfter: "" });
+        await second!.setBehaviour({ retryAfter: "20" });
+        await processes.waitFor("the first worker serves", async () => (await instance.send("/look/1")).status === 200);
+        const { refused: refusedBefore } = (await second!.getState<WorkerState>()).counts;
+        await processes.waitFor("the second worker has asked for a pause", async () => {
+            await instance.send("/look/1");
+            return (await second!.getState<WorkerState>()).counts.refused > refusedBefore;
+        });
+        await first!.setBehaviour({ retryAfter: String(pauseS) });
+        const order = await instance.send("/order/1", { method: "POST", body: "x", requestId: "refused-order" });
+        const line = await processes.waitFor("the refusal is logged", () => instance.listLogs("request-refused").find(({ context }) => context.requestId === "refused-order"));
+        t.match(line.context, { kind: "overloaded", outcome: "not-executed", attempts: 1 });
+        t.ok(Number(line.context.latencyMs) < 500, `after ${String(line.context.latencyMs)} ms`);
+        t.ok(Number(order.headers["retry-after"]) > 0);
+    });
+
     await t.test("requests are served when the pause is over", async () => {
         await Promise.all(testPlatform.workers.map(worker => worker.setBehaviour({ retryAfter: "" })));
         await processes.waitFor("requests are served again", async () => (await instance.send("/look/1")).status === 200);
