Open the ports for callers after every plug-in has started

Cause: the instance waited 250 ms for a peer's marks before the plug-in that reads the peers' addresses had started.

Change: a phase "open" after all starts; with a peer's address known the wait is up to 1 s, without one 250 ms as before.

--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -17,9 +17,6 @@
 
 export type { CallerRequestHandler } from "./callerRequestHandler.js";
 
-/** How long a started instance waits for the peers' marks of leaving upstreams before it serves; a link takes some tens of milliseconds. */
-const maximumMarksWaitMs = 250;
-
 /** The service key of the handler for callers' requests. */
 export const callerRequestHandlerKey = serviceRegistry.createServiceKey<callerRequestHandler.CallerRequestHandler>("handler");
 
@@ -48,8 +45,8 @@
             entries.checkShadowedRoutes(document);
         });
         return {
-            start: async () => {
-                await context.services.getService(pool.leavingUpstreamsKey).waitUntilMarksRead(maximumMarksWaitMs);
+            open: async () => {
+                await context.services.getService(pool.leavingUpstreamsKey).waitUntilMarksRead();
                 await server.start();
                 await auxiliary.start();
             },
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -71,6 +71,9 @@
         for (const { plugin } of this.runningPlugins) {
             await plugin.start?.();
         }
+        for (const { plugin } of this.runningPlugins) {
+            await plugin.open?.();
+        }
         this.state = "running";
         this.watchForStalls();
         log.writeInfo("instance-started", `instance ${identity.instanceId} started`, { version: process.version });
--- a/src/kernel/plugins.ts
+++ b/src/kernel/plugins.ts
@@ -11,8 +11,10 @@
 
 /** A running plug-in. */
 export interface RunningPlugin {
-    /** Opens ports and starts timers. */
+    /** Starts timers and opens the ports for peers. */
     readonly start?: () => Promise<void>;
+    /** Opens the ports for callers and operators; called after every plug-in has started. */
+    readonly open?: () => Promise<void>;
     /** Applies changed settings, as far as that is possible without a restart. */
     readonly setSettings?: (changed: settings.ServeSettings) => void;
     /** Accepts no new work and completes the work in flight, until the shutdown ends. */
--- a/src/peers/linkManager.ts
+++ b/src/peers/linkManager.ts
@@ -146,6 +146,11 @@
         return peerLink?.isOpen() === true ? peerLink : undefined;
     }
 
+    /** Returns whether a seed is known that is not the own address. */
+    hasPeerAddresses(): boolean {
+        return [...this.options.context.settings.seeds, ...this.discoveredSeeds].some(seed => !this.ownAddresses.has(seed));
+    }
+
     /** Lists the identifiers of the peers with an open link. */
     listLinkedPeers(): readonly string[] {
         return [...this.links].filter(([, peerLink]) => peerLink.isOpen()).map(([peerId]) => peerId);
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -109,6 +109,9 @@
         return this.memberDirectory.listMembers();
     }
 
+    /** Returns whether an address is known at which another instance may be reached. */
+    readonly hasPeerAddresses = () => this.linkManager.hasPeerAddresses();
+
     /** Returns the number of known members, this instance included. */
     countMembers(): number {
         return this.memberDirectory.countMembers();
@@ -128,8 +131,8 @@
      * @param body - Plain data, a few kilobytes at most.
      */
     setRegister(topic: string, body: unknown): void {
-        const register = this.registerTable.setOwnRegister(topic, body);
-        this.sendToLinkedPeers({ type: "registers", registers: [register] });
+        const registers = [this.registerTable.setOwnRegister(topic, body)];
+        this.linkManager.listLinkedPeers().forEach(peerId => this.linkManager.getLink(peerId)?.sendMessage({ type: "registers", registers }));
     }
 
     /**
@@ -248,10 +251,6 @@
         }
     }
 
-    private sendToLinkedPeers(message: wire.Message): void {
-        this.linkManager.listLinkedPeers().forEach(peerId => this.linkManager.getLink(peerId)?.sendMessage(message));
-    }
-
     private handleLinkOpen(peerLink: link.PeerLink): void {
         peerLink.sendMessage({ type: "digest", entries: [...this.registerTable.getDigest()], isReply: false });
         this.context.logger.writeInfo("peer-linked", `opened a link to peer ${peerLink.getPeer()?.instanceId}`, { peer: peerLink.getPeer()?.instanceId });
--- a/src/pool/leavingUpstreams.ts
+++ b/src/pool/leavingUpstreams.ts
@@ -13,6 +13,10 @@
 /** Interval between two requests for a peer's marks, until one has answered. */
 const readIntervalMs = 50;
 const topic = "leavingMarks";
+/** How long a starting instance waits for the addresses of peers, which the store lists within some tens of milliseconds. */
+const peerSearchMs = 250;
+/** How long it waits for the marks of a peer whose address it has. Opening a link takes some tens of milliseconds, more on a busy machine. */
+const marksWaitMs = 1_000;
 
 const markSchema = z.strictObject({
     service: z.string().max(200),
@@ -55,11 +59,12 @@
         void this.readPeerMarks();
     }
 
-    /** Waits until a peer has sent the marks that it holds, at most for a time in milliseconds. */
-    async waitUntilMarksRead(maximumMs: number): Promise<void> {
-        const { clock, loop } = this.options.context;
-        const waitUntil = clock.getNow() + maximumMs;
-        while (!this.haveMarksBeenRead && clock.getNow() < waitUntil) {
+    /** Waits until a peer has sent the marks that it holds, for a limited time. */
+    async waitUntilMarksRead(): Promise<void> {
+        const { mesh, context: { clock, loop } } = this.options;
+        const startedAt = clock.getNow();
+        const getLimitMs = () => mesh.hasPeerAddresses() ? marksWaitMs : peerSearchMs;
+        while (!this.haveMarksBeenRead && clock.getNow() - startedAt < getLimitMs()) {
             await new Promise<void>(resolve => loop.scheduleOnce(readIntervalMs, resolve));
         }
     }
