--- a/test/standins/kvStore.ts
+++ b/test/standins/kvStore.ts
@@ -65,7 +65,6 @@
         if (value === undefined && before === undefined) {
             return;
         }
-        revision += 1;
         if (value === undefined) {
             items.delete(key);
             events.push({ key, revision, deleted: true });
@@ -75,15 +74,22 @@
         items.set(key, item);
         events.push({ key, revision, item });
     };
+    /** Applies changes as one transaction, so that all of them have the same revision. */
+    const applyChanges = (changes: readonly { readonly key: string; readonly value: string | undefined; readonly lease: number; }[]) => {
+        if (changes.some(({ key, value }) => value !== undefined || items.has(key))) {
+            revision += 1;
+        }
+        changes.forEach(({ key, value, lease }) => applyChange(key, value, lease));
+    };
     const notifyWatches = () => [...pendingWatches].forEach(check => check());
-    const setValue = (key: string, value: unknown) => {
-        const text = typeof value === "string" ? value : JSON.stringify(value);
-        applyChange(key, value === undefined ? undefined : Buffer.from(text).toString("base64"), 0);
+    const encodeValue = (value: unknown) => Buffer.from(typeof value === "string" ? value : JSON.stringify(value)).toString("base64");
+    const setValues = (values: readonly (readonly [key: string, value: unknown])[]) => {
+        applyChanges(values.map(([key, value]) => ({ key, value: value === undefined ? undefined : encodeValue(value), lease: 0 })));
         notifyWatches();
     };
     const removeLease = (id: number) => {
         leases.delete(id);
-        [...items].filter(([, item]) => item.lease === id).forEach(([key]) => applyChange(key, undefined, 0));
+        applyChanges([...items].filter(([, item]) => item.lease === id).map(([key]) => ({ key, value: undefined, lease: 0 })));
         notifyWatches();
     };
     const renewLease = (id: number, ttlMs: number) => {
@@ -130,8 +136,7 @@
             reply(response, 404);
             return;
         }
-        body.puts?.forEach(put => applyChange(put.key, put.value, put.lease ?? 0));
-        body.deletes?.forEach(key => applyChange(key, undefined, 0));
+        applyChanges([...(body.puts ?? []).map(({ key, value, lease }) => ({ key, value, lease: lease ?? 0 })), ...(body.deletes ?? []).map(key => ({ key, value: undefined, lease: 0 }))]);
         notifyWatches();
         if (behaviour.lostReplies > 0) {
             behaviour.lostReplies -= 1;
@@ -210,8 +215,8 @@
                 // "silent" keeps open connections waiting forever, like a link that drops all packets.
                 server.closeAllConnections();
             }
-            Object.entries(put ?? {}).forEach(([key, value]) => setValue(key, value));
-            (remove as readonly string[] | undefined)?.forEach(key => setValue(key, undefined));
+            setValues(Object.entries(put ?? {}));
+            setValues((remove as readonly string[] | undefined ?? []).map(key => [key, undefined]));
             if (dropHistory === true) {
                 lastDiscardedRevision = revision;
                 events = [];
