End relayed bodies at the deadline and at the route's time-out

Then only a pause of the upstream ended it; a body that trickles was not limited, and a continuation got a whole deadline of its own.

Change: one timer over the whole relaying ends it visibly; the log names which limit it was. A slow caller is no evidence against the upstream.

--- a/src/callers/requestLog.ts
+++ b/src/callers/requestLog.ts
@@ -21,6 +21,8 @@
     readonly trail: readonly string[];
     readonly latencyMs: number;
     readonly deadlineMs: number;
+    /** What determines `deadlineMs`. */
+    readonly timeLimit: requests.RoutedRequest["timeLimit"];
     readonly configurationVersion: number;
     readonly error: errors.FleetError | undefined;
     /** How streaming the response's body to the caller ended; `none` if the body was not streamed. */
@@ -39,7 +41,7 @@
      */
     writeCompletedRequest(request: CompletedRequest): void {
         const { logger } = this.context;
-        const cutReason = getCutReason(request.body);
+        const cutReason = getCutReason(request);
         const isSuccessful = request.error === undefined && request.status < 500 && cutReason === undefined;
         if (isSuccessful) {
             this.successCount += 1;
@@ -72,11 +74,12 @@
 }
 
 /** Returns why a response was not relayed completely; undefined if it was. */
-function getCutReason(body: CompletedRequest["body"]): string | undefined {
+function getCutReason({ body, timeLimit }: Pick<CompletedRequest, "body" | "timeLimit">): string | undefined {
     return match(body)
         .with("whole", "none", () => undefined)
         .with("callerGone", () => "the caller disconnected")
         .with("tooLarge", () => "the upstream's answer exceeded unsizedBodyBytes")
+        .with("deadline", () => timeLimit === "routeTimeout" ? "the route's time-out passed" : "the deadline passed")
         .with("broken", "unstarted", () => "the upstream's answer broke off")
         .exhaustive();
 }
--- a/src/requests/relayBody.ts
+++ b/src/requests/relayBody.ts
@@ -23,6 +23,8 @@
     | { readonly kind: "broken"; readonly bytes: number; }
     /** A body of undeclared length exceeded the setting `unsizedBodyBytes`. */
     | { readonly kind: "tooLarge"; readonly bytes: number; }
+    /** The request's time was over after a part had been relayed. `isCallerSlow`: the caller did not take what was there. */
+    | { readonly kind: "deadline"; readonly bytes: number; readonly isCallerSlow: boolean; }
     /** The caller closed its connection. */
     | { readonly kind: "callerGone"; readonly bytes: number; };
 
@@ -43,12 +45,12 @@
     readonly openContinuation: (resumable: rangeResume.ResumableBody, offset: number) => Promise<http.IncomingMessage | undefined>;
     /** Returns whether a request whose body is still buffered can be retried. */
     readonly hasRetryLeft: () => boolean;
-    /** Returns the milliseconds until the request's deadline, which limits the wait while the body is buffered. */
+    /** Returns the milliseconds until the request's deadline, which ends the relaying. */
     readonly getRemainingMs: () => number;
 }
 
 /** How the body of one upstream response ended. */
-type PartResult = "ended" | "broken" | "tooLarge" | "callerGone";
+type PartResult = "ended" | "broken" | "tooLarge" | "deadline" | "deadlineOfSlowCaller" | "callerGone";
 
 /**
  * Relays a body until it is complete, the caller disconnects, or it breaks and cannot be continued.
@@ -73,6 +75,10 @@
             caller.destroy();
             return { kind: "tooLarge", bytes };
         }
+        if ((result === "deadline" || result === "deadlineOfSlowCaller") && !writer.isHoldingBack()) {
+            caller.destroy();
+            return { kind: "deadline", bytes, isCallerSlow: result === "deadlineOfSlowCaller" };
+        }
         const isComplete = resumable === undefined ? result === "ended" : bytes === resumable.length;
         if (isComplete) {
             writer.writeHeldBack();
@@ -99,6 +105,7 @@
         let cancelIdleTimer = () => {};
         const finish = (result: PartResult) => {
             cancelIdleTimer();
+            cancelDeadline();
             writer.setBackpressureListener(() => {});
             caller.off("drain", resume);
             caller.off("close", onCallerClose);
@@ -111,9 +118,9 @@
         const startIdleTimer = () => {
             cancelIdleTimer();
             const idleLimitMs = writer.isHoldingBack() && options.hasRetryLeft() ? Math.min(bufferingIdleTimeoutMs, idleMs) : idleMs;
-            const limitMs = writer.isHoldingBack() ? Math.min(idleLimitMs, options.getRemainingMs()) : idleMs;
-            cancelIdleTimer = loop.scheduleOnce(Math.max(0, limitMs), () => finish("broken"));
+            cancelIdleTimer = loop.scheduleOnce(idleLimitMs, () => finish("broken"));
         };
+        const cancelDeadline = loop.scheduleOnce(Math.max(0, options.getRemainingMs()), () => finish(caller.writableNeedDrain ? "deadlineOfSlowCaller" : "deadline"));
         // The idle timer is stopped while a slow caller applies backpressure, because the upstream does not cause that pause.
         const resume = () => {
             startIdleTimer();
--- a/src/requests/runWithRetries.ts
+++ b/src/requests/runWithRetries.ts
@@ -246,25 +246,26 @@
         progress.excludedUpstreamIds.add(current.upstream.getId());
         return !isDeadlinePassed && acquireRetry(executor, request, progress) ? "retry" : createErrorSummary(error, progress);
     }
-    current.release(getFinalOutcome(result.kind, status));
+    current.release(getFinalOutcome(result, status));
     if (result.kind !== "whole") {
         request.trail.push(`[${current.upstream.getId()} (its body ended as ${result.kind} after ${result.bytes} bytes)]`);
     }
     return { outcome, status, attempts: progress.attempts, body: result.kind };
 }
 
-function getFinalOutcome(kind: relayBody.RelayResult["kind"], status: number): pool.AttemptOutcome {
-    return match(kind)
-        .with("whole", (): pool.AttemptOutcome => status < 500 ? "answered" : "failed")
-        .with("broken", "tooLarge", "unstarted", (): pool.AttemptOutcome => "failed")
-        .with("callerGone", (): pool.AttemptOutcome => "cancelled")
+function getFinalOutcome(result: relayBody.RelayResult, status: number): pool.AttemptOutcome {
+    return match(result)
+        .with({ kind: "whole" }, (): pool.AttemptOutcome => status < 500 ? "answered" : "failed")
+        .with({ kind: "broken" }, { kind: "tooLarge" }, { kind: "unstarted" }, (): pool.AttemptOutcome => "failed")
+        .with({ kind: "deadline" }, ({ isCallerSlow }): pool.AttemptOutcome => isCallerSlow ? "cancelled" : "timedOut")
+        .with({ kind: "callerGone" }, (): pool.AttemptOutcome => "cancelled")
         .exhaustive();
 }
 
 /** Requests the remainder of a broken body from another upstream. Returns undefined if there is none or its response is not exactly the remainder. */
 async function openContinuation(executor: executorContext.ExecutorContext, request: types.RoutedRequest, resumable: rangeResume.ResumableBody, offset: number, brokenUpstream: string): Promise<OpenedResponse | undefined> {
     const headersWithoutRange = headers.listEndToEndHeaders(request.rawHeaders, ["range", "if-range", "if-none-match", "if-modified-since", "if-match", "if-unmodified-since"]);
-    const resumed = { ...request, rawHeaders: headersWithoutRange, deadlineAt: Math.max(request.deadlineAt, executor.context.clock.getNow() + request.route.deadlineMs) };
+    const resumed = { ...request, rawHeaders: headersWithoutRange };
     const progress: Progress = { excludedUpstreamIds: new Set([brokenUpstream]), attempts: 1, sentAttempts: 0 };
     const result = await openResponse(executor, resumed, progress, rangeResume.createResumeHeaders(resumable, offset));
     if (result.kind === "error") {
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -16,6 +16,8 @@
     readonly feature: string | undefined;
     /** When the request's deadline expires, in monotonic milliseconds. */
     readonly deadlineAt: number;
+    /** What determines `deadlineAt`: the deadline of the caller or route, or the route's time-out. */
+    readonly timeLimit: "deadline" | "routeTimeout";
     /** The request's identifier in the logs; empty if the caller sent none. */
     readonly requestId: string;
     /** The name of the header that carries the caller's deadline, for forwarding to the instance that owns an order key. */
