Release the slot of a response whose head cannot be passed on

Cause: Node's parser accepts heads that its writer refuses; writeHead() threw past every release of the slot.

Change: such a head makes the attempt lost, the upstream's failure, and 502 for the caller. An exception while an attempt is sent or relayed releases its slot.

--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -20,6 +20,9 @@
 /** The maximum size of all that an upstream sends up to the end of a response's headers, interim responses and blank lines included. */
 const maximumHeadBytes = 65_536;
 
+/** Smaller statuses are interim responses, or none at all. */
+const minimumFinalStatus = 200;
+
 const misdirectedReason = "another upstream now has its address";
 
 /** The result of an attempt, up to the response headers. */
@@ -131,7 +134,7 @@
                 finish({ kind: "shed", reason: rejectionReason }, false);
                 return;
             }
-            const unsealedReason = getUnsealedReason(response, service);
+            const unsealedReason = getUnsealedReason(response, service) ?? getUnwritableReason(response);
             if (unsealedReason !== undefined) {
                 response.on("error", () => {});
                 finish({ kind: "lost", reason: unsealedReason }, true);
@@ -183,6 +186,20 @@
     return sealHeader !== undefined && isSuccess && response.headers[sealHeader] === undefined ? `a successful response lacks the header ${sealHeader}` : undefined;
 }
 
+/** Returns why the head of a response cannot be passed on; undefined if it can. Node's parser accepts heads that its writer refuses. */
+function getUnwritableReason({ statusCode = 0, rawHeaders }: http.IncomingMessage): string | undefined {
+    if (statusCode < minimumFinalStatus) {
+        return `the response has the status ${statusCode}`;
+    }
+    try {
+        rawHeaders.forEach((text, index) => index % 2 === 0 ? http.validateHeaderName(text) : http.validateHeaderValue(rawHeaders[index - 1]!, text));
+        return undefined;
+    }
+    catch (thrown) {
+        return `the head of the response cannot be passed on: ${errors.getErrorMessage(thrown)}`;
+    }
+}
+
 function createRequest(options: SendAttemptOptions, progress: Progress): http.ClientRequest {
     const { slot, request, service, context } = options;
     const { host, port } = settings.parseAddress(slot.upstream.getAddress());
--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -61,7 +61,7 @@
     async sendAttempt(options: Omit<attempt.SendAttemptOptions, "onNotice">): Promise<attempt.AttemptResult> {
         const { slot, request } = options;
         const isReusable = () => this.options.connectionReuse.isReusable(slot.upstream.getAddress());
-        const result = await (this.options.sendAttempt ?? attempt.sendAttempt)({
+        const result = await this.runAttempt({
             ...options,
             isReusable,
             onCreated: sent => this.upstreamBytes.watchRequest(sent, slot.upstream),
@@ -73,6 +73,17 @@
         return result;
     }
 
+    /** Sends an attempt; an exception releases its slot. */
+    private async runAttempt(options: attempt.SendAttemptOptions): Promise<attempt.AttemptResult> {
+        try {
+            return await (this.options.sendAttempt ?? attempt.sendAttempt)(options);
+        }
+        catch (thrown) {
+            options.slot.release("cancelled");
+            throw thrown;
+        }
+    }
+
     /** The clock, event loop, settings, logger and other objects of the process. */
     get context(): context.Context {
         return this.options.context;
--- a/src/requests/runWithRetries.ts
+++ b/src/requests/runWithRetries.ts
@@ -208,7 +208,7 @@
     const resumable = rangeResume.getResumableBody(request.method, response);
     let current = opened.slot;
     let continuations = 0;
-    const result = await relayBody.relayBody({
+    const relayed = relayBody.relayBody({
         context: executor.context,
         response,
         caller,
@@ -239,6 +239,10 @@
             return continuation.response;
         },
     });
+    const result = await relayed.catch((thrown: unknown) => {
+        current.release("failed");
+        throw thrown;
+    });
     if (result.kind === "unstarted") {
         const isDeadlinePassed = request.deadlineAt <= executor.context.clock.getNow();
         const error = isDeadlinePassed ? errors.createError("deadlineAfterSend") : errors.createError("answerLost", "the response body broke off before any of it was relayed");
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -18,8 +18,11 @@
     /** The fraction of responses that are faulty. */
     spoilPart: number;
     /** The fault of these responses, such as a truncated body, extra bytes, no framing or a missing seal. */
-    spoiled: "none" | "cut" | "extra" | "extraLate" | "unframed" | "unframedReset" | "stall" | "garbage" | "wrongId" | "unsealed" | "repeatedRefusal" | "cutHead" | keyof typeof endlessResponses;
+    spoiled: "none" | "cut" | "extra" | "extraLate" | "unframed" | "unframedReset" | "stall" | "garbage" | "wrongId" | "unsealed" | "repeatedRefusal" | "cutHead" | "spoiledHead" | keyof typeof endlessResponses;
     bodyBytes: number;
+    /** The status line and the additional header lines of a "spoiledHead" response. */
+    statusLine: string;
+    headerLines: string;
     /** Whether every response announces that the worker is leaving. */
     isLeaving: boolean;
     /** The Retry-After of every response, which then rejects the request; empty to serve requests. */
@@ -46,7 +49,7 @@
 
 /** Starts a worker; returns its ports. */
 export async function startWorker(id: string) {
-    const behaviour: WorkerBehaviour = { id, slots: 3, queue: 12, workMs: 10, failPart: 0, failure: "error", spoilPart: 0, spoiled: "none", bodyBytes: 100, isLeaving: false, retryAfter: "" };
+    const behaviour: WorkerBehaviour = { id, slots: 3, queue: 12, workMs: 10, failPart: 0, failure: "error", spoilPart: 0, spoiled: "none", bodyBytes: 100, statusLine: "", headerLines: "", isLeaving: false, retryAfter: "" };
     const runs: Record<string, number> = {};
     const arrivalTimes: number[] = [];
     const deadlines: Record<string, number> = {};
@@ -80,6 +83,7 @@
             none: () => socket.write(completeResponse),
             cut: () => socket.end(completeResponse.slice(0, -20)),
             cutHead: () => socket.end(completeResponse.slice(0, Math.floor(Math.random() * completeResponse.indexOf(body)))),
+            spoiledHead: () => socket.write(completeResponse.replace("HTTP/1.1 200 OK\r\n", `${behaviour.statusLine}\r\n${behaviour.headerLines}`)),
             extra: () => socket.write(completeResponse + otherResponse),
             extraLate: () => {
                 socket.write(completeResponse);
