Keep small bodies in memory of their own size

A body that uses less than half of its block is copied to its own size. Merged pieces are not written to a caller whose connection was destroyed in the same task (by reading).

Evidence: the new subtest of test/kernel/bodyMemory.test.ts.

--- a/src/kernel/bodyBuffer.ts
+++ b/src/kernel/bodyBuffer.ts
@@ -83,10 +83,12 @@
         const { reservation } = this.options;
         const { length, allocatedBytes } = this;
         const parts = this.takeParts();
-        if (parts.length === 1) {
+        // A body that uses little of its block is copied, because its holder may keep it for long.
+        if (parts.length === 1 && length * 2 >= allocatedBytes) {
             return parts[0]!;
         }
-        const body = Buffer.concat(parts, length);
+        const body = Buffer.allocUnsafeSlow(length);
+        parts.reduce((offset, part) => offset + part.copy(body, offset), 0);
         reservation?.release(allocatedBytes - length);
         return body;
     }
--- a/src/requests/bodyWriter.ts
+++ b/src/requests/bodyWriter.ts
@@ -98,6 +98,9 @@
 
     /** Returns whether the caller's socket accepts more. */
     private writeParts(parts: readonly Buffer[]): boolean {
+        if (this.options.caller.destroyed) {
+            return true;
+        }
         const isAccepting = parts.map(part => this.options.caller.write(part)).at(-1) ?? true;
         if (!isAccepting) {
             this.onBackpressure();
--- a/test/kernel/bodyMemory.test.ts
+++ b/test/kernel/bodyMemory.test.ts
@@ -29,6 +29,16 @@
         }));
     });
 
+    await t.test("returns a small body in memory of its own size, since an order's response is kept for repeats", async t => {
+        const { account } = createAccount(Infinity);
+        const body = new bodyBuffer.BodyBuffer({ maximumBytes: Infinity, reservation: account.createReservation(), kind: "response" });
+        body.add(Buffer.from("done"));
+        const received = body.takeBody();
+        t.equal(received.toString(), "done");
+        t.equal(received.buffer.byteLength, 4);
+        t.equal(account.getBytes(), 4);
+    });
+
     await t.test("adds nothing of a piece beyond its limit or the memory that is left", async t => {
         const { account } = createAccount(10_000);
         const body = new bodyBuffer.BodyBuffer({ maximumBytes: 20_000, reservation: account.createReservation(), kind: "response" });
