Log which requests a planned stop cuts, and what they waited for

What callers saw: around SIGTERM of an instance, requests that a worker had run had no whole answer. The log did not tell why: `drain-cut` gave two numbers, a connection that closed before left nothing, and a request that was answered has a line in one case of 16.

Cause of the gap: only the number of requests in flight was kept. Neither which they were, nor whether they waited for an upstream or for their caller, nor who had closed the connection, nor whether the process itself was late.

Change (nothing of what is accepted, answered or closed): - callers/inFlightRequests.ts keeps each request from its headers until its response is written and its order has ended; requests/requestProgress.ts holds what it waits for, as a closed union that the executor sets. - callers/drainLog.ts: `drain-request-cut` for what the end of a shutdown cuts and for connections that close in it (endedBy: shutdownEnd, caller, connectionError, instance), at most 100 lines each; `drain-requests-answered` with the identifiers of responses that went to the operating system whole; `callers-port-closed`; `callers-drained`. - `instance-draining` has the delay with which the signal was handled and the time of the kill, `instance-stopped` its duration, its overrun and the longest stall (kernel/stallWatch.ts, moved out of the kernel). - agatebend_drain_cut_requests_total has the label waiting_for.

--- a/src/callers/callerRequestHandler.ts
+++ b/src/callers/callerRequestHandler.ts
@@ -11,6 +11,7 @@
 import * as callerMetrics from "./callerMetrics.js";
 import * as drainAdmission from "./drainAdmission.js";
 import type * as entriesHandler from "./entriesHandler.js";
+import type * as inFlightRequests from "./inFlightRequests.js";
 import * as parseRequest from "./parseRequest.js";
 import * as readBody from "./readBody.js";
 import * as requestLog from "./requestLog.js";
@@ -29,10 +30,7 @@
     readonly executor: requests.ExecutorContext;
     readonly orders: orders.OrderService;
     readonly lifecycle: kernel.Lifecycle;
-}
-
-interface InFlightRequest {
-    readonly isRepeatable: boolean;
+    readonly inFlight: inFlightRequests.InFlightRequests;
 }
 
 /** Handles the requests that arrive at the caller port. */
@@ -41,10 +39,8 @@
     private readonly retiredFeatureCallCounter = new retiredFeatureCalls.RetiredFeatureCallCounter();
     private readonly routeSplitter: configuration.RouteSplitter;
     private readonly requestLog: requestLog.RequestLog;
-    private inFlightCount = 0;
     /** When a graceful shutdown ends, in monotonic milliseconds; undefined before one begins. */
     private drainEndsAt: number | undefined;
-    private readonly inFlightRequests = new Set<InFlightRequest>();
 
     constructor(private readonly options: CreateCallerRequestHandlerOptions) {
         this.metrics = new callerMetrics.CallerMetrics(options.context);
@@ -52,17 +48,6 @@
         this.routeSplitter = new configuration.RouteSplitter(options.context.randomness);
     }
 
-    /** Returns the number of requests that are being handled, or whose response is still being written. */
-    countInFlightRequests(): number {
-        return this.inFlightCount;
-    }
-
-    /** Returns the number of routed requests in flight: those that may be repeated, and orders. */
-    countInFlightByKind(): { readonly repeatable: number; readonly orders: number; } {
-        const repeatable = [...this.inFlightRequests].filter(({ isRepeatable }) => isRepeatable).length;
-        return { repeatable, orders: this.inFlightRequests.size - repeatable };
-    }
-
     /**
      * Refuses requests from now on that cannot be expected to end before the shutdown does.
      * @param at - The end of the shutdown, in monotonic milliseconds.
@@ -82,21 +67,21 @@
      * @param response - The response to the caller.
      */
     async handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-        this.inFlightCount += 1;
+        const inFlight = this.options.inFlight.addRequest(request, response);
         try {
             const { entries } = this.options;
             if (entries.isPathReserved() && entries.handleRequest(request, response)) {
                 return;
             }
-            await this.handleProxyRequest(request, response);
+            await this.handleProxyRequest(inFlight);
         }
         catch (thrown) {
             this.options.context.logger.writeError("request-failed", "unexpected exception while handling a request", { error: errors.getErrorMessage(thrown) });
             responses.writeFinalError(response, errors.createError("internal"), this.options.context);
         }
         finally {
-            await responses.waitUntilWritten(request.socket, response);
-            this.inFlightCount -= 1;
+            await inFlight.written;
+            void this.options.inFlight.removeRequest(inFlight);
         }
     }
 
@@ -106,9 +91,9 @@
         return lifecycle.getState() === "running" && configurationService.getCurrent() !== undefined && !configurationService.isStale();
     }
 
-    private async handleProxyRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    private async handleProxyRequest(inFlight: inFlightRequests.InFlightRequest): Promise<void> {
         const { context } = this.options;
-        const startedAt = context.clock.getNow();
+        const { request, response, receivedAt: startedAt } = inFlight;
         const orderKeyText = parseRequest.parseSingleHeader(request, requests.fleetHeaders.orderKey);
         if (orderKeyText.isErr()) {
             request.resume();
@@ -137,8 +122,10 @@
             await this.rejectRequest(request, response, orderKeyText.value, readBody.createMemoryFullError());
             return;
         }
+        const deadlineAt = startedAt + Math.min(parsed.value.deadlineMs, route.timeoutMs ?? Infinity);
+        inFlight.setDetails({ requestId, route, deadlineAt });
         const reservation = context.heldBytes.createReservation();
-        reservation.releaseAfter(responses.waitUntilWritten(request.socket, response));
+        reservation.releaseAfter(inFlight.written);
         const body = await readBody.readBody({ context, request, limitBytes: compiled.document.limits.bodyBytes, reservation });
         if (body.isErr()) {
             await this.rejectRequest(request, response, orderKeyText.value, body.error);
@@ -152,23 +139,23 @@
             route,
             workspace,
             feature,
-            deadlineAt: startedAt + Math.min(parsed.value.deadlineMs, route.timeoutMs ?? Infinity),
+            deadlineAt,
             timeLimit: parsed.value.deadlineMs <= (route.timeoutMs ?? Infinity) ? "deadline" : "routeTimeout",
             requestId,
             deadlineHeader: compiled.document.callerHeaders.deadline,
             isOutcomeKept: false,
             trail: [],
+            progress: inFlight.progress,
             reservation,
             signal: responses.createDisconnectSignal(response),
         };
-        const inFlightRequest: InFlightRequest = { isRepeatable: route.repeatable };
-        this.inFlightRequests.add(inFlightRequest);
-        void responses.waitUntilWritten(request.socket, response).then(() => this.inFlightRequests.delete(inFlightRequest));
-        await this.runRequest(request, response, routedRequest, orderKeyText.value, startedAt);
+        inFlight.setRouted(routedRequest);
+        await this.runRequest(inFlight, routedRequest, orderKeyText.value);
     }
 
-    private async runRequest(request: http.IncomingMessage, response: http.ServerResponse, routedRequest: requests.RoutedRequest, orderKeyText: string | undefined, startedAt: number): Promise<void> {
+    private async runRequest(inFlight: inFlightRequests.InFlightRequest, routedRequest: requests.RoutedRequest, orderKeyText: string | undefined): Promise<void> {
         const { context, executor, orders: orderService } = this.options;
+        const { request, response, receivedAt: startedAt } = inFlight;
         const { route } = routedRequest;
         // The configuration may have changed while the body was being read, so the feature is checked again.
         if (this.isFeatureRetired(routedRequest.feature)) {
@@ -191,6 +178,7 @@
         const run = orderService.runOrder(routedRequest, orderKeyText, forwardedBy);
         // An order may continue after its caller was answered.
         routedRequest.reservation.releaseAfter(run);
+        inFlight.setRun(run);
         const orderResult = await this.waitForOrderResult(run, routedRequest.deadlineAt);
         responses.writeOrderResult(response, orderResult, context);
         const outcome = orderResult.kind === "answer" ? orderResult.outcome : errors.getErrorDefinition(orderResult.error).outcome;
--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -2,7 +2,6 @@
 
 import * as http from "node:http";
 import type * as net from "node:net";
-import * as promClient from "prom-client";
 import type * as configuration from "../configuration/index.js";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
@@ -13,6 +12,8 @@
 import * as requests from "../requests/index.js";
 import * as settings from "../settings/index.js";
 import type * as callerRequestHandler from "./callerRequestHandler.js";
+import * as drainLog from "./drainLog.js";
+import type * as inFlightRequests from "./inFlightRequests.js";
 
 /** How often `drain` checks whether requests are still in flight, in milliseconds. */
 const drainPollIntervalMs = 20;
@@ -31,6 +32,7 @@
 export interface CreateCallerServerOptions {
     readonly context: context.Context;
     readonly handler: callerRequestHandler.CallerRequestHandler;
+    readonly inFlight: inFlightRequests.InFlightRequests;
     readonly mesh: peers.Mesh;
     readonly orders: orders.OrderService;
     /** Refuses the requests that wait for a slot and have not been sent. */
@@ -42,7 +44,7 @@
     private readonly server: http.Server;
     private isDraining = false;
     private readonly connections: httpConnections.HttpConnections;
-    private readonly cutRequests: promClient.Counter<"kind">;
+    private readonly drainLog: drainLog.DrainLog;
 
     constructor(private readonly options: CreateCallerServerOptions) {
         const { context: { settings: serveSettings }, handler: requestHandler } = options;
@@ -60,12 +62,7 @@
             void requestHandler.handleRequest(request, response);
         });
         this.connections = new httpConnections.HttpConnections(this.server);
-        this.cutRequests = new promClient.Counter({
-            name: "agatebend_drain_cut_requests_total",
-            help: "Requests in flight at the end of a graceful shutdown, which were cut, by whether they may be repeated.",
-            labelNames: ["kind"],
-            registers: [options.context.metrics],
-        });
+        this.drainLog = new drainLog.DrainLog(options);
         this.server.maxConnections = serveSettings.callerConnections;
         this.server.on("clientError", (error, socket) => this.rejectClient(error, socket as net.Socket));
     }
@@ -99,27 +96,32 @@
      * the port is closed, and requests in flight may finish until the shutdown ends.
      * @param shutdown - The shutdown, with its end.
      */
-    async drain({ endsAt }: plugins.Shutdown): Promise<void> {
+    async drain(shutdown: plugins.Shutdown): Promise<void> {
+        const { endsAt } = shutdown;
         const { context: { settings: serveSettings, clock }, mesh, handler } = this.options;
         mesh.setMember({ state: "draining" });
         this.isDraining = true;
+        this.drainLog.start(shutdown);
         handler.setDrainEnd(endsAt);
         // Callers would send further requests on connections whose response began before the shutdown.
         this.connections.listOpenResponses().filter(response => !response.headersSent).forEach(response => response.setHeader("connection", "close"));
         await this.wait(Math.min(Math.max(0, endsAt - clock.getNow()), serveSettings.entriesTtlMs + serveSettings.entriesGraceMs));
         this.connections.stopListening();
-        this.connections.closeIdle();
+        const closedIdle = this.connections.closeIdle();
+        this.drainLog.writePortClosed(closedIdle, this.connections.countConnections());
         await this.waitForRequests(endsAt - queueRejectionLeadMs);
         this.options.rejectQueued();
         await this.waitForRequests(endsAt);
-        this.recordCutRequests();
+        this.drainLog.writeEnd();
         // Requests that arrived from now on would be passed on and then cut.
         this.connections.closeAll();
     }
 
     /** Closes the port and every connection. */
     async stop(): Promise<void> {
+        this.drainLog.writeEnd();
         this.connections.closeAll();
+        this.drainLog.writeSummary();
     }
 
     private async waitForRequests(until: number): Promise<void> {
@@ -128,19 +130,8 @@
         }
     }
 
-    private recordCutRequests(): void {
-        const { handler, context: { logger } } = this.options;
-        if (this.countInFlight() === 0) {
-            return;
-        }
-        const { repeatable, orders: orderCount } = handler.countInFlightByKind();
-        this.cutRequests.inc({ kind: "repeatable" }, repeatable);
-        this.cutRequests.inc({ kind: "order" }, orderCount);
-        logger.writeWarning("drain-cut", `the time for the graceful shutdown is over; cutting ${repeatable} repeatable requests and ${orderCount} orders in flight`, { requests: this.countInFlight(), repeatable, orders: orderCount });
-    }
-
     private countInFlight(): number {
-        return this.options.handler.countInFlightRequests() + this.options.orders.countRunning();
+        return this.options.inFlight.countUnwritten() + this.options.orders.countRunning();
     }
 
     private wait(delayMs: number): Promise<void> {
--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -14,6 +14,7 @@
 import * as callerRequestHandler from "./callerRequestHandler.js";
 import * as auxiliaryPorts from "./auxiliaryPorts.js";
 import * as entriesHandler from "./entriesHandler.js";
+import * as inFlightRequests from "./inFlightRequests.js";
 
 export type { CallerRequestHandler } from "./callerRequestHandler.js";
 
@@ -29,6 +30,7 @@
         const configurationService = context.services.getService(configuration.configurationKey);
         const lifecycle = context.services.getService(kernel.lifecycleKey);
         const entries = new entriesHandler.EntriesHandler({ context, configuration: configurationService, mesh, orders: orderService, lifecycle });
+        const inFlight = new inFlightRequests.InFlightRequests(context.clock);
         const requestHandler = new callerRequestHandler.CallerRequestHandler({
             context,
             configuration: configurationService,
@@ -36,9 +38,17 @@
             executor: context.services.getService(requests.executorKey),
             orders: orderService,
             lifecycle,
+            inFlight,
         });
         context.services.setService(callerRequestHandlerKey, requestHandler);
-        const server = new callerServer.CallerServer({ context, handler: requestHandler, mesh, orders: orderService, rejectQueued: () => context.services.getService(admission.admissionKey).rejectAllQueued(errors.createError("draining")) });
+        const server = new callerServer.CallerServer({
+            context,
+            handler: requestHandler,
+            inFlight,
+            mesh,
+            orders: orderService,
+            rejectQueued: () => context.services.getService(admission.admissionKey).rejectAllQueued(errors.createError("draining")),
+        });
         const auxiliary = new auxiliaryPorts.AuxiliaryPorts({ context, handler: requestHandler, entries });
         configurationService.addListener(({ document }) => {
             server.setLimits(document.limits);
@@ -55,7 +65,7 @@
                 await server.stop();
                 await auxiliary.stop();
             },
-            getDump: () => ({ inFlight: requestHandler.countInFlightRequests(), retiredCalls: requestHandler.listRetiredFeatureCalls() }),
+            getDump: () => ({ inFlight: inFlight.countUnwritten(), retiredCalls: requestHandler.listRetiredFeatureCalls() }),
         };
     },
 });
--- a/src/cli/explainCommand.ts
+++ b/src/cli/explainCommand.ts
@@ -10,7 +10,15 @@
 const logLineSchema = z.object({
     time: z.number(),
     message: z.string(),
-    context: z.looseObject({ event: z.string(), instance: z.string().default(""), requestId: z.string().optional(), service: z.string().optional(), upstream: z.string().optional(), trail: z.string().optional() }),
+    context: z.looseObject({
+        event: z.string(),
+        instance: z.string().default(""),
+        requestId: z.string().optional(),
+        requestIds: z.string().optional(),
+        service: z.string().optional(),
+        upstream: z.string().optional(),
+        trail: z.string().optional(),
+    }),
 });
 
 type LogLine = z.infer<typeof logLineSchema>;
@@ -33,7 +41,7 @@
  */
 export function findRequestTimeline(texts: readonly string[], requestId: string): RequestTimeline {
     const allLines = texts.flatMap(text => text.split("\n").flatMap(line => parseLogLine(line) ?? [])).sort((a, b) => a.time - b.time);
-    const requestLines = allLines.filter(line => line.context.requestId === requestId);
+    const requestLines = allLines.filter(({ context }) => context.requestId === requestId || context.requestIds?.split(" ").includes(requestId) === true);
     const lastLine = requestLines.at(-1);
     if (lastLine === undefined) {
         return { requestLines, relatedLines: [] };
@@ -42,9 +50,9 @@
     const attemptedUpstreams = new Set(requestLines.flatMap(line => [...(line.context.trail ?? "").matchAll(/\[(\S+) \(/g)].map(found => found[1])));
     const services = new Set(requestLines.map(line => line.context.service));
     const relatedLines = allLines.filter(line => {
-        const isWithinWindow = line.time <= lastLine.time && line.time >= lastLine.time - relatedWindowMs && line.context.requestId === undefined;
+        const isWithinWindow = line.time <= lastLine.time && line.time >= lastLine.time - relatedWindowMs && line.context.requestId === undefined && line.context.requestIds === undefined;
         const isAboutUpstream = line.context.upstream !== undefined && (attemptedUpstreams.size === 0 ? services.has(line.context.service) : attemptedUpstreams.has(line.context.upstream));
-        const isAboutInstance = line.context.upstream === undefined && /^(store|configuration|directory|settings|instance|peer|member|log)-/.test(line.context.event);
+        const isAboutInstance = line.context.upstream === undefined && /^(store|configuration|directory|settings|instance|process|callers|drain|peer|member|log)-/.test(line.context.event);
         return isWithinWindow && instances.has(line.context.instance) && (isAboutUpstream || isAboutInstance);
     });
     return { requestLines, relatedLines };
@@ -77,7 +85,7 @@
 }
 
 function formatLogLine({ time, message, context: { event, instance, trail, ...values } }: LogLine): string {
-    const hiddenFields = new Set(["application", "failureDomain", "logLevel"]);
+    const hiddenFields = new Set(["application", "failureDomain", "logLevel", "requestIds"]);
     const fields = Object.entries(values).filter(([name, value]) => !hiddenFields.has(name) && value !== undefined).map(([name, value]) => `${name}=${String(value)}`);
     const attempts = trail === undefined || trail === "" ? [] : trail.split("] [").map(attempt => `\n    attempt: ${attempt.replace(/^\[|\]$/g, "")}`);
     return `${new Date(time).toISOString()} ${instance} ${event}: ${message} ${fields.join(" ")}${attempts.join("")}`;
--- a/src/kernel/httpConnections.ts
+++ b/src/kernel/httpConnections.ts
@@ -12,6 +12,15 @@
     bytesReadWhenIdle: number | undefined;
 }
 
+/** The open connections of a server by what is on them. */
+export interface ConnectionCounts {
+    /** Connections with a response that is not written completely. */
+    readonly withRequest: number;
+    readonly withoutRequest: number;
+    /** Those of `withoutRequest` that have sent a part of their next request. */
+    readonly withUnfinishedRequest: number;
+}
+
 /**
  * Tracks the connections of a server and their open responses. A response is open until all of it was passed to the
  * operating system, or its connection closed.
@@ -23,6 +32,7 @@
 
     /** @param server - The server; create the tracker before it listens. */
     constructor(private readonly server: http.Server) {
+        server.on("connection", (socket: net.Socket) => this.addConnection(socket));
         server.prependListener("request", (request: http.IncomingMessage, response: http.ServerResponse) => this.addResponse(request.socket, response));
     }
 
@@ -41,9 +51,19 @@
         net.Server.prototype.close.call(this.server);
     }
 
-    /** Closes the connections on which every response has been written and no further request has begun. */
-    closeIdle(): void {
-        [...this.connections].filter(([socket, { responses, bytesReadWhenIdle }]) => responses.size === 0 && socket.bytesRead === bytesReadWhenIdle).forEach(([socket]) => socket.destroy());
+    /** Counts the open connections by what is on them. */
+    countConnections(): ConnectionCounts {
+        const open = [...this.connections].filter(([socket]) => !socket.destroyed);
+        const withoutRequest = open.filter(([, { responses }]) => responses.size === 0);
+        const unfinished = withoutRequest.filter(([socket, { bytesReadWhenIdle = 0 }]) => socket.bytesRead !== bytesReadWhenIdle);
+        return { withRequest: open.length - withoutRequest.length, withoutRequest: withoutRequest.length, withUnfinishedRequest: unfinished.length };
+    }
+
+    /** Closes the connections on which every response has been written and no further request has begun, and returns their number. */
+    closeIdle(): number {
+        const idle = [...this.connections].filter(([socket, { responses, bytesReadWhenIdle }]) => responses.size === 0 && socket.bytesRead === bytesReadWhenIdle).map(([socket]) => socket);
+        idle.forEach(socket => socket.destroy());
+        return idle.length;
     }
 
     /** Closes the port and all connections. */
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -13,11 +13,7 @@
 import * as randomness from "./randomness.js";
 import * as serviceRegistry from "./serviceRegistry.js";
 import * as shutdown from "./shutdown.js";
-
-/** Interval between two checks for a stall of the process. */
-const stallCheckIntervalMs = 250;
-/** A check delayed by at least this much is logged as a stall, since it explains the events logged after it. */
-const stallThresholdMs = 1_000;
+import * as stallWatch from "./stallWatch.js";
 
 /** Maximum wait for the remaining log lines to be written before the process exits. */
 const finalLogFlushTimeoutMs = 200;
@@ -25,6 +21,8 @@
 /** How long after the end of a shutdown plug-ins may still record what they cut. */
 const drainOverrunMs = 50;
 
+const millisecondsPerSecond = 1_000;
+
 /** The lifecycle state of the process. */
 export type LifecycleState = "starting" | "running" | "draining" | "stopped";
 
@@ -50,11 +48,13 @@
     private drainPromise?: Promise<void>;
     private readonly stopListeners: (() => void)[] = [];
     private readonly sink: logSink.LogSink;
+    private readonly stalls: stallWatch.StallWatch;
 
     constructor(options: settings.ServeSettings) {
         const systemClock = clock.createSystemClock();
         this.sink = new logSink.LogSink({ clock: systemClock });
         this.context = createContext(options, systemClock, this.sink);
+        this.stalls = new stallWatch.StallWatch(this.context);
         this.context.services.setService(lifecycleKey, {
             getState: () => this.getState(),
             drain: () => this.drain(),
@@ -75,7 +75,7 @@
             await plugin.open?.();
         }
         this.state = "running";
-        this.watchForStalls();
+        this.stalls.start();
         log.writeInfo("instance-started", `instance ${identity.instanceId} started`, { version: process.version });
     }
 
@@ -116,34 +116,25 @@
         };
     }
 
-    /** Logs a warning after the process was suspended or short of CPU time. */
-    private watchForStalls(): void {
-        const { loop: timers, clock: systemClock, logger: log } = this.context;
-        let lastCheckAt = systemClock.getNow();
-        timers.scheduleRepeatedly(stallCheckIntervalMs, () => {
-            const gapMs = systemClock.getNow() - lastCheckAt;
-            lastCheckAt = systemClock.getNow();
-            if (gapMs - stallCheckIntervalMs < stallThresholdMs) {
-                return;
-            }
-            log.writeWarning("process-stood-still", `the process was stalled for ${Math.round(gapMs)} ms`, { gapMs: Math.round(gapMs) });
-        });
-    }
-
     private async drainAndStop(): Promise<void> {
         const { clock: systemClock, loop: timers, logger: log, settings: serveSettings } = this.context;
         const timeoutMs = shutdown.computeShutdownTimeoutMs(serveSettings);
         this.state = "draining";
-        log.writeInfo("instance-draining", "graceful shutdown started", { timeoutMs });
-        const drained = shutdown.drainPlugins({ plugins: this.runningPlugins, shutdown: { endsAt: systemClock.getNow() + timeoutMs }, logger: log });
+        const startedAt = systemClock.getNow();
+        const killAfterMs = serveSettings.killAfterS === 0 ? undefined : Math.round(serveSettings.killAfterS * millisecondsPerSecond);
+        log.writeInfo("instance-draining", "graceful shutdown started", { timeoutMs, killAfterMs, stalledMs: Math.round(this.stalls.getStallMs()) });
+        this.stalls.takeLongestStallMs();
+        const drained = shutdown.drainPlugins({ plugins: this.runningPlugins, shutdown: { startedAt, endsAt: startedAt + timeoutMs }, logger: log });
         // A plug-in that waits for an external system must not delay the exit past the time at which the platform kills the process.
         await Promise.race([drained, new Promise<void>(resolve => timers.scheduleOnce(timeoutMs + drainOverrunMs, resolve))]);
         timers.stop();
+        this.sink.removeLowSeverityLimit();
         for (const { plugin } of [...this.runningPlugins].reverse()) {
             await plugin.stop?.();
         }
         this.state = "stopped";
-        this.context.logger.writeInfo("instance-stopped", "graceful shutdown completed");
+        const durationMs = Math.round(systemClock.getNow() - startedAt);
+        log.writeInfo("instance-stopped", "graceful shutdown completed", { durationMs, overrunMs: Math.max(0, durationMs - timeoutMs), longestStallMs: Math.round(this.stalls.takeLongestStallMs()) });
         await this.sink.waitUntilWritten(finalLogFlushTimeoutMs);
         this.stopListeners.forEach(listener => listener());
     }
--- a/src/kernel/logSink.ts
+++ b/src/kernel/logSink.ts
@@ -30,6 +30,7 @@
     private windowBytes = 0;
     private droppedLines = 0;
     private reportedDroppedLines = 0;
+    private lowSeverityLimit = lowSeverityBytesPerSecond;
     private readonly flushListeners: (() => void)[] = [];
 
     constructor(private readonly options: CreateLogSinkOptions) {}
@@ -55,6 +56,11 @@
         this.writePending();
     }
 
+    /** Gives lines below `warn` the limit of all lines, so that the last ones of the process are not dropped after many others. */
+    removeLowSeverityLimit(): void {
+        this.lowSeverityLimit = bytesPerSecond;
+    }
+
     /**
      * Waits until every queued line is written.
      * @param timeoutMs - Maximum wait in milliseconds, in case the reader has stopped.
@@ -79,7 +85,7 @@
             this.windowBytes = 0;
             this.addDropReport();
         }
-        const limit = isLowSeverity ? lowSeverityBytesPerSecond : bytesPerSecond;
+        const limit = isLowSeverity ? this.lowSeverityLimit : bytesPerSecond;
         if (this.windowBytes + length > limit || this.pendingBytes + length > maximumPendingBytes) {
             return false;
         }
--- a/src/kernel/plugins.ts
+++ b/src/kernel/plugins.ts
@@ -5,6 +5,8 @@
 
 /** A graceful shutdown of the process. */
 export interface Shutdown {
+    /** When the shutdown began, in monotonic milliseconds. */
+    readonly startedAt: number;
     /** When the shutdown ends and what is still in flight is cut, in monotonic milliseconds. */
     readonly endsAt: number;
 }
--- /dev/null
+++ b/src/kernel/stallWatch.ts
@@ -0,0 +1,64 @@
+/** Notices stalls of the process: times in which it was suspended or short of CPU time. */
+
+import type * as clock from "./clock.js";
+import type * as logger from "./logger.js";
+import type * as loop from "./loop.js";
+
+/** Interval between two checks for a stall of the process. */
+const checkIntervalMs = 250;
+/** A check delayed by at least this much is logged as a stall, since it explains the events logged after it. */
+const loggedStallMs = 1_000;
+
+/** Options of `StallWatch`. */
+export interface CreateStallWatchOptions {
+    readonly clock: clock.Clock;
+    readonly loop: Pick<loop.Loop, "scheduleRepeatedly">;
+    readonly logger: Pick<logger.Logger, "writeWarning">;
+}
+
+/** Checks periodically whether the event loop runs, and logs long stalls. */
+export class StallWatch {
+    private lastCheckAt: number | undefined;
+    private lastDelayMs = 0;
+    private longestStallMs = 0;
+
+    constructor(private readonly options: CreateStallWatchOptions) {}
+
+    /** Starts the periodic check. */
+    start(): void {
+        this.lastCheckAt = this.options.clock.getNow();
+        this.options.loop.scheduleRepeatedly(checkIntervalMs, () => this.runCheck());
+    }
+
+    /**
+     * Returns by how much the current check is overdue or the last one was, in milliseconds. The event loop has stood still
+     * for up to one interval longer.
+     * @remarks After a stall, timers run before signal handlers, so the delay of the last check counts too.
+     */
+    getStallMs(): number {
+        return Math.max(this.computeDelayMs(), this.lastDelayMs);
+    }
+
+    /** Returns the longest stall since the last call, in milliseconds, and begins anew. */
+    takeLongestStallMs(): number {
+        const stallMs = Math.max(this.longestStallMs, this.computeDelayMs());
+        this.longestStallMs = 0;
+        return stallMs;
+    }
+
+    private runCheck(): void {
+        this.lastDelayMs = this.computeDelayMs();
+        this.longestStallMs = Math.max(this.longestStallMs, this.lastDelayMs);
+        this.lastCheckAt = this.options.clock.getNow();
+        if (this.lastDelayMs >= loggedStallMs) {
+            const gapMs = Math.round(this.lastDelayMs + checkIntervalMs);
+            this.options.logger.writeWarning("process-stood-still", `the process was stalled for ${gapMs} ms`, { gapMs });
+        }
+    }
+
+    /** Returns by how much the next check is overdue. */
+    private computeDelayMs(): number {
+        const { lastCheckAt } = this;
+        return lastCheckAt === undefined ? 0 : Math.max(0, this.options.clock.getNow() - lastCheckAt - checkIntervalMs);
+    }
+}
--- a/src/orders/orderService.ts
+++ b/src/orders/orderService.ts
@@ -146,6 +146,7 @@
         if (this.ledger.hasKey(key.text)) {
             return this.runOwnedKey(request, key.text, Infinity);
         }
+        request.progress.setWait({ kind: "orderKeyClaim" });
         const claimed = await this.options.claims.claimKey(key.text);
         if (claimed.isErr()) {
             return createFailure(claimed.error);
@@ -171,6 +172,7 @@
             })
             .with({ kind: "join" }, ({ result }) => {
                 this.outcomes.inc({ handling: "joined", outcome: "none" });
+                request.progress.setWait({ kind: "earlierRequest" });
                 return result;
             })
             .with({ kind: "replay" }, ({ result }) => {
@@ -188,6 +190,7 @@
         if (owner === undefined || owner.incarnation !== claim.incarnation || forwardedBy !== undefined) {
             return createFailure(errors.createError("orderOwnerUnreachable", `the order key belongs to ${claim.owner}, which ${context.identity.instanceId} cannot reach`));
         }
+        request.progress.setWait({ kind: "orderKeyOwner" });
         const result = await forwardOrder.forwardOrder({ context, request, key, address: owner.callerAddress });
         this.countOutcome("forwarded", result);
         return result;
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -61,6 +61,8 @@
     readonly signal: AbortSignal;
     /** Called with the request before it is sent. */
     readonly onCreated?: (sent: http.ClientRequest) => void;
+    /** Called when the upstream may have received any of the request. */
+    readonly onSent?: () => void;
     /** Headers that this attempt adds; names and values alternate. */
     readonly extraHeaders?: readonly string[];
     /** Called if the response says what the upstream wants of this instance, whatever the response's outcome is. */
@@ -228,9 +230,13 @@
     };
     const sent = http.request(requestOptions);
     options.onCreated?.(sent);
+    const setSent = () => {
+        progress.wasSent = true;
+        options.onSent?.();
+    };
     sent.on("socket", (socket: net.Socket) => {
         if (!socket.connecting) {
-            progress.wasSent = true;
+            setSent();
             return;
         }
         // This listener runs before Node writes the buffered request, so a process that was suspended while connecting
@@ -240,7 +246,7 @@
                 progress.onConnectedAfterDeadline();
                 return;
             }
-            progress.wasSent = true;
+            setSent();
         });
     });
     return sent;
--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -60,13 +60,17 @@
     /** Sends an attempt, applies what its response says about the upstream, counts its result and appends it to the request's trail. */
     async sendAttempt(options: Omit<attempt.SendAttemptOptions, "onNotice">): Promise<attempt.AttemptResult> {
         const { slot, request } = options;
+        const current = { upstream: slot.upstream.getId(), upstreamSummary: slot.upstreamSummary, queuedMs: slot.queuedMs, startedAt: slot.attempt.startedAt };
+        request.progress.recordAttempt(current);
         const isReusable = () => this.options.connectionReuse.isReusable(slot.upstream.getAddress());
         const result = await this.runAttempt({
             ...options,
             isReusable,
             onCreated: sent => this.upstreamBytes.watchRequest(sent, slot.upstream),
+            onSent: () => request.progress.setWait({ kind: "upstreamHead", attempt: current }),
             onNotice: notice => this.applyNotice(slot.upstream, notice),
         });
+        request.progress.setWait(result.kind === "answered" ? { kind: "upstreamBody", attempt: current } : { kind: "retry" });
         const ageMs = Math.round(this.context.clock.getNow() - slot.attempt.startedAt);
         this.metrics.recordAttempt(request.route.service, result);
         request.trail.push(`[${slot.upstream.getId()} (${slot.upstreamSummary}) queued ${Math.round(slot.queuedMs)} ms, after ${ageMs} ms ${formatResult(result)}]`);
@@ -160,6 +164,7 @@
      */
     acquireSlot(request: types.RoutedRequest, excludedUpstreamIds: Set<string>, progress: Pick<admission.SlotRequest, "isRetry" | "canRetry" | "mayHaveRun">): Promise<Result<admission.Slot, errors.FleetError>> {
         const { route } = request;
+        request.progress.setWait({ kind: "slot" });
         const now = this.context.clock.getNow();
         const upstreams = this.options.pool.getServicePool(route.service)?.upstreams ?? [];
         const untried = upstreams.filter(candidate => !excludedUpstreamIds.has(candidate.getId()) && !candidate.isLeaving(now) && candidate.routability.kind === "routable");
--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -12,6 +12,7 @@
 export { ExecutorContext } from "./executorContext.js";
 export { fleetHeaders, getHeaderValues, listEndToEndHeaders, removeFleetHeaders } from "./headers.js";
 export { readResponse } from "./readResponse.js";
+export { RequestProgress, type RequestWait } from "./requestProgress.js";
 export { type AtMostOnceResult, runAtMostOnce } from "./runAtMostOnce.js";
 export { type ExecutionSummary, runWithRetries } from "./runWithRetries.js";
 export type { BufferedResponse, RoutedRequest } from "./types.js";
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -2,6 +2,7 @@
 
 import type * as configuration from "../configuration/index.js";
 import type * as heldBytes from "../kernel/heldBytes.js";
+import type * as requestProgress from "./requestProgress.js";
 
 /** A caller's request after validation and route matching, with its body in memory. */
 export interface RoutedRequest {
@@ -26,6 +27,8 @@
     readonly isOutcomeKept: boolean;
     /** The result of each attempt, for the request log; every attempt appends an entry. */
     readonly trail: string[];
+    /** What the request waits for, for the log of a shutdown. */
+    readonly progress: requestProgress.RequestProgress;
     /** Accounts for the memory of the request's and the response's body. */
     readonly reservation: heldBytes.Reservation;
     /** Aborted when the caller disconnects. */
--- a/test/cli/explainCommand.test.ts
+++ b/test/cli/explainCommand.test.ts
@@ -15,6 +15,10 @@
         createLine(9_200, "i1", "store-unreachable"),
         createLine(9_500, "i1", "request-refused", { requestId: "r1", service: "desk", trail: "[w1 (fails 0.1, 3 ms old, 0/3 busy) queued 0 ms, after 3 ms lost: reset]" }),
         createLine(9_600, "i1", "request-refused", { requestId: "r2", service: "desk", trail: "" }),
+        createLine(10_000, "i1", "instance-draining"),
+        createLine(10_100, "i1", "drain-requests-answered", { requestIds: "r4 r5" }),
+        createLine(10_200, "i1", "callers-port-closed"),
+        createLine(10_300, "i1", "drain-request-cut", { requestId: "r6", trail: "[w2 (fails 0.1, 3 ms old, 0/3 busy) queued 0 ms, after 900 ms waiting for upstreamHead]" }),
         "half a line {",
     ].join("\n");
     const secondLog = [createLine(9_300, "i2", "store-unreachable"), createLine(9_400, "i2", "request-refused", { requestId: "r3" })].join("\n");
@@ -26,5 +30,8 @@
     testTimeline("r1", 1, ["9000 upstream-trusted", "9200 store-unreachable"]);
     testTimeline("r2", 1, ["9000 upstream-trusted", "9100 upstream-doubted", "9200 store-unreachable"]);
     testTimeline("r3", 1, ["9300 store-unreachable"]);
+    testTimeline("r5", 1, ["9200 store-unreachable", "10000 instance-draining"]);
+    testTimeline("r6", 1, ["9100 upstream-doubted", "9200 store-unreachable", "10000 instance-draining", "10200 callers-port-closed"]);
+    testTimeline("r", 0, []);
     testTimeline("nobody", 0, []);
 });
--- a/test/integration.drainUnwritten.test.ts
+++ b/test/integration.drainUnwritten.test.ts
@@ -89,6 +89,9 @@
         const exitMs = performance.now() - signalledAt;
         t.ok(exitMs < killAfterS * 1_000, `the process ended by itself after ${Math.round(exitMs)} ms`);
         t.strictSame(instance.listLogs("drain-cut").map(({ context }) => [context.repeatable, context.orders]), [[0, 1]]);
+        const [line] = instance.listLogs("drain-request-cut").map(({ context }) => context);
+        t.match(line, { endedBy: "shutdownEnd", waitingFor: "callerReading", kind: "order", attempts: 1, hasCaller: true, isHeadPassedOn: true });
+        t.ok(Number(line?.passedBytes) > 0 && Number(line?.heldBytes) > 0 && Number(line?.passedBytes) + Number(line?.heldBytes) > bodyBytes, `the response was written in part: ${JSON.stringify(line)}`);
         isReading = true;
         t.notOk((await read).isComplete);
     });
--- a/test/kernel/logSink.test.ts
+++ b/test/kernel/logSink.test.ts
@@ -39,6 +39,24 @@
         t.match(text, /"event":"log-lines-dropped","dropped":1345/);
         t.match(text, /after\n/);
     });
+    await t.test("the last lines of a process are written after a flood", async t => {
+        let text = "";
+        const sink = new logSink.LogSink({
+            clock: clock.createVirtualClock(),
+            writeBytes: (bytes, onDone) => {
+                text += bytes.toString();
+                onDone(undefined, bytes.length);
+            },
+        });
+        for (let index = 0; index < 1_000; index += 1) {
+            sink.writeLine("q".repeat(99), false);
+        }
+        sink.writeLine("dropped", true);
+        sink.removeLowSeverityLimit();
+        sink.writeLine("last", true);
+        t.notMatch(text, /dropped/);
+        t.match(text, /last\n/);
+    });
     await t.test("output that would block is written later", async t => {
         let text = "";
         let isBlocked = true;
--- a/test/kernel/shutdown.test.ts
+++ b/test/kernel/shutdown.test.ts
@@ -30,7 +30,7 @@
             },
         },
     }));
-    const ended = shutdown.drainPlugins({ plugins, shutdown: { endsAt: 0 }, logger: log });
+    const ended = shutdown.drainPlugins({ plugins, shutdown: { startedAt: 0, endsAt: 0 }, logger: log });
     await new Promise(resolve => setImmediate(resolve));
     return { events, failures, ended };
 }
--- /dev/null
+++ b/test/kernel/stallWatch.test.ts
@@ -0,0 +1,58 @@
+/**
+ * Guards against a signal that is handled late without a line that says so. After a stall, the timer of the check runs before
+ * the signal handler, so the age of the last check alone shows no stall.
+ */
+
+import tap from "tap";
+import * as clock from "../../src/kernel/clock.js";
+import * as stallWatch from "../../src/kernel/stallWatch.js";
+
+void tap.test("stalls of the process", async t => {
+    const createWatch = () => {
+        const time = clock.createVirtualClock();
+        const logged: unknown[] = [];
+        let runCheck = () => {};
+        const scheduleRepeatedly = (_: number, task: () => void) => {
+            runCheck = task;
+            return () => {};
+        };
+        const watch = new stallWatch.StallWatch({ clock: time, loop: { scheduleRepeatedly }, logger: { writeWarning: (event, _, values) => void logged.push([event, values]) } });
+        return { time, logged, watch, runCheck: () => runCheck() };
+    };
+
+    await t.test("before the start", async t => {
+        const { time, watch } = createWatch();
+        time.addTime(5_000);
+        t.equal(watch.getStallMs(), 0);
+        t.equal(watch.takeLongestStallMs(), 0);
+    });
+    await t.test("a check that is overdue", async t => {
+        const { time, watch } = createWatch();
+        watch.start();
+        time.addTime(250);
+        t.equal(watch.getStallMs(), 0);
+        time.addTime(700);
+        t.equal(watch.getStallMs(), 700);
+        t.equal(watch.takeLongestStallMs(), 700);
+    });
+    await t.test("a check that ran late just before", async t => {
+        const { time, watch, logged, runCheck } = createWatch();
+        watch.start();
+        time.addTime(950);
+        runCheck();
+        t.equal(watch.getStallMs(), 700);
+        t.equal(watch.takeLongestStallMs(), 700);
+        t.equal(watch.takeLongestStallMs(), 0, "the longest stall is counted anew");
+        t.strictSame(logged, [], "a short stall has no line of its own");
+        time.addTime(250);
+        runCheck();
+        t.equal(watch.getStallMs(), 0);
+    });
+    await t.test("a long stall is logged", async t => {
+        const { time, watch, logged, runCheck } = createWatch();
+        watch.start();
+        time.addTime(1_250);
+        runCheck();
+        t.strictSame(logged, [["process-stood-still", { gapMs: 1_250 }]]);
+    });
+});
