Take late requests at a stopping instance by their own deadline alone

Callers saw: requests sent more than 3 s after SIGTERM, on connections that were open when the port closed, were taken, run by an upstream and cut at the end of the shutdown (5.6 s of 6) without a head, orders among them. Cause: a request whose deadline lay beyond the end was taken if twice the 99th percentile of its route's latency was within it. That is an estimate of upstreams that have been quick; one that is slow this time outlasts the shutdown. And it was made on arrival only: a request that then waited for a slot was sent with whatever was left. Change: estimates count until 0.5 s before the port closes. Callers that come later have other entry points; what they send is taken only if its own deadline, or its route's time-out, is within the shutdown, and is refused otherwise as not executed, with Connection: close and Retry-After 0. The 0.5 s are for a signal that is handled late. A request that has not been sent and gets its slot too late is refused in the same way.

--- a/src/callers/callerRequestHandler.ts
+++ b/src/callers/callerRequestHandler.ts
@@ -9,7 +9,6 @@
 import * as requests from "../requests/index.js";
 import * as responses from "./responses.js";
 import * as callerMetrics from "./callerMetrics.js";
-import * as drainAdmission from "./drainAdmission.js";
 import type * as entriesHandler from "./entriesHandler.js";
 import type * as inFlightRequests from "./inFlightRequests.js";
 import * as parseRequest from "./parseRequest.js";
@@ -19,8 +18,6 @@
 
 /** How long after a caller's deadline the handler still waits for the result of the order, in milliseconds. */
 const orderResultGraceMs = 100;
-/** The quantile of a route's latencies that decides which requests a stopping instance still takes. */
-const usualLatencyQuantile = 0.99;
 
 /** Options of the request handler. */
 export interface CreateCallerRequestHandlerOptions {
@@ -39,8 +36,6 @@
     private readonly retiredFeatureCallCounter = new retiredFeatureCalls.RetiredFeatureCallCounter();
     private readonly routeSplitter: configuration.RouteSplitter;
     private readonly requestLog: requestLog.RequestLog;
-    /** When a graceful shutdown ends, in monotonic milliseconds; undefined before one begins. */
-    private drainEndsAt: number | undefined;
 
     constructor(private readonly options: CreateCallerRequestHandlerOptions) {
         this.metrics = new callerMetrics.CallerMetrics(options.context);
@@ -48,14 +43,6 @@
         this.routeSplitter = new configuration.RouteSplitter(options.context.randomness);
     }
 
-    /**
-     * Refuses requests from now on that cannot be expected to end before the shutdown does.
-     * @param at - The end of the shutdown, in monotonic milliseconds.
-     */
-    setDrainEnd(at: number): void {
-        this.drainEndsAt = at;
-    }
-
     /** Lists the rejected calls of retired features, most frequent first. */
     listRetiredFeatureCalls(): readonly retiredFeatureCalls.RetiredFeatureCalls[] {
         return this.retiredFeatureCallCounter.listCalls();
@@ -162,7 +149,7 @@
             await this.rejectRetiredFeature(request, response, orderKeyText, routedRequest);
             return;
         }
-        if (!this.isFinishedBeforeDrainEnd(routedRequest)) {
+        if (!executor.isTaken(routedRequest)) {
             await this.rejectRequest(request, response, orderKeyText, { ...errors.createError("draining", "the instance stops before the request can be expected to end"), retryAfterMs: 0 });
             return;
         }
@@ -246,12 +233,6 @@
         return undefined;
     }
 
-    private isFinishedBeforeDrainEnd({ route, deadlineAt }: requests.RoutedRequest): boolean {
-        const { context: { clock }, executor: { latencies } } = this.options;
-        const { drainEndsAt } = this;
-        return drainEndsAt === undefined || drainAdmission.isFinishedBeforeEnd({ now: clock.getNow(), deadlineAt, drainEndsAt, usualLatencyMs: latencies.getQuantile(route.service, route.name, usualLatencyQuantile) });
-    }
-
     private isFeatureRetired(feature: string | undefined): boolean {
         return feature !== undefined && this.options.configuration.getCurrent()?.retiredFeatures.has(feature) === true;
     }
--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -19,6 +19,8 @@
 const drainPollIntervalMs = 20;
 /** How long before the end of a shutdown queued requests are refused, so that their responses are still sent. */
 const queueRejectionLeadMs = 100;
+/** How late a busy process is assumed to handle the signal that stops it, in milliseconds. */
+const signalDelayMs = 500;
 /** How often Node.js checks connections against the header timeout, in milliseconds. */
 const connectionCheckIntervalMs = 500;
 
@@ -35,6 +37,7 @@
     readonly inFlight: inFlightRequests.InFlightRequests;
     readonly mesh: peers.Mesh;
     readonly orders: orders.OrderService;
+    readonly executor: requests.ExecutorContext;
     /** Refuses the requests that wait for a slot and have not been sent. */
     readonly rejectQueued: () => void;
 }
@@ -98,14 +101,16 @@
      */
     async drain(shutdown: plugins.Shutdown): Promise<void> {
         const { endsAt } = shutdown;
-        const { context: { settings: serveSettings, clock }, mesh, handler } = this.options;
+        const { context: { settings: serveSettings, clock }, mesh, executor } = this.options;
+        const now = clock.getNow();
+        const portClosesAt = Math.max(now, Math.min(endsAt, now + serveSettings.entriesTtlMs + serveSettings.entriesGraceMs));
         mesh.setMember({ state: "draining" });
         this.isDraining = true;
         this.drainLog.start(shutdown);
-        handler.setDrainEnd(endsAt);
+        executor.setShutdownTimes({ endsAt, estimatesEndAt: portClosesAt - signalDelayMs });
         // Callers would send further requests on connections whose response began before the shutdown.
         this.connections.listOpenResponses().filter(response => !response.headersSent).forEach(response => response.setHeader("connection", "close"));
-        await this.wait(Math.min(Math.max(0, endsAt - clock.getNow()), serveSettings.entriesTtlMs + serveSettings.entriesGraceMs));
+        await this.wait(portClosesAt - now);
         this.connections.stopListening();
         const closedIdle = this.connections.closeIdle();
         this.drainLog.writePortClosed(closedIdle, this.connections.countConnections());
--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -47,6 +47,7 @@
             inFlight,
             mesh,
             orders: orderService,
+            executor: context.services.getService(requests.executorKey),
             rejectQueued: () => context.services.getService(admission.admissionKey).rejectAllQueued(errors.createError("draining")),
         });
         const auxiliary = new auxiliaryPorts.AuxiliaryPorts({ context, handler: requestHandler, entries });
--- /dev/null
+++ b/src/requests/drainAdmission.ts
@@ -0,0 +1,34 @@
+/** Which requests a stopping instance still takes and sends. Needs no clock, timers or network. */
+
+/** A request is expected to take at most this multiple of what 99 in 100 attempts of its route took, since it may also wait or be sent again. */
+const expectedMultiple = 2;
+
+/** The times of a graceful shutdown, in monotonic milliseconds. */
+export interface ShutdownTimes {
+    /** When the shutdown ends and what is in flight is cut. */
+    readonly endsAt: number;
+    /**
+     * Until when a request is taken because its route is usually quick enough. An estimate is wrong at times. Callers that
+     * come later have other entry points by then, so that only requests are taken whose own deadline is in time.
+     */
+    readonly estimatesEndAt: number;
+}
+
+/** What the decision depends on. Times are in monotonic milliseconds. */
+export interface RequestTimes {
+    readonly now: number;
+    readonly deadlineAt: number;
+    /** The 99th percentile of the route's recent latencies; undefined without samples. */
+    readonly usualLatencyMs: number | undefined;
+}
+
+/** Returns whether a stopping instance takes a request that has arrived. */
+export function isTaken(request: RequestTimes, shutdown: ShutdownTimes): boolean {
+    return request.now < shutdown.estimatesEndAt ? isSendable(request, shutdown) : request.deadlineAt <= shutdown.endsAt;
+}
+
+/** Returns whether a stopping instance sends a request that it took, which may have waited since. Without samples, only its deadline counts. */
+export function isSendable({ now, deadlineAt, usualLatencyMs }: RequestTimes, { endsAt }: ShutdownTimes): boolean {
+    const expectedEnd = usualLatencyMs === undefined ? deadlineAt : Math.min(deadlineAt, now + usualLatencyMs * expectedMultiple);
+    return expectedEnd <= endsAt;
+}
--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -1,6 +1,6 @@
 /** Provides what every attempt needs: slots, retry budgets, connections and metrics. */
 
-import type { Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
 import { match } from "ts-pattern";
 import type * as admission from "../admission/index.js";
 import type * as configuration from "../configuration/index.js";
@@ -10,6 +10,7 @@
 import * as attempt from "./attempt.js";
 import * as attemptMetrics from "./attemptMetrics.js";
 import type * as connectionReuse from "./connectionReuse.js";
+import * as drainAdmission from "./drainAdmission.js";
 import * as headers from "./headers.js";
 import * as retryBudget from "./retryBudget.js";
 import type * as types from "./types.js";
@@ -18,6 +19,8 @@
 
 /** Interval between checks whether the budget allows a retry. */
 const retryCheckIntervalMs = 25;
+/** The quantile of a route's latencies that decides which requests a stopping instance still takes and sends. */
+const usualLatencyQuantile = 0.99;
 
 /** Options of the executor context. */
 export interface CreateExecutorContextOptions {
@@ -47,6 +50,8 @@
     private readonly startedAt: number;
     private readonly metrics: attemptMetrics.AttemptMetrics;
     private readonly upstreamBytes: upstreamBytes.UpstreamBytes;
+    /** The times of the graceful shutdown; undefined before one begins. */
+    private shutdownTimes: drainAdmission.ShutdownTimes | undefined;
 
     constructor(private readonly options: CreateExecutorContextOptions) {
         this.metrics = new attemptMetrics.AttemptMetrics({
@@ -88,6 +93,16 @@
         }
     }
 
+    /** Refuses requests from now on that cannot be expected to end before the shutdown does. */
+    setShutdownTimes(times: drainAdmission.ShutdownTimes): void {
+        this.shutdownTimes = times;
+    }
+
+    /** Returns whether a request that has arrived can be expected to end before the shutdown does, if one has begun. */
+    isTaken(request: Pick<types.RoutedRequest, "route" | "deadlineAt">): boolean {
+        return this.shutdownTimes === undefined || drainAdmission.isTaken(this.getRequestTimes(request), this.shutdownTimes);
+    }
+
     /** The clock, event loop, settings, logger and other objects of the process. */
     get context(): context.Context {
         return this.options.context;
@@ -157,12 +172,13 @@
     }
 
     /**
-     * Waits for a slot at an upstream.
+     * Waits for a slot at an upstream. A stopping instance refuses a request that has not been sent and has waited too long
+     * to end before the shutdown does.
      * @param request - The request.
      * @param excludedUpstreamIds - Identifiers of the upstreams that were already tried; cleared if no other routable upstream is left.
      * @param progress - Whether an earlier attempt held a slot, and whether the request can be retried if this attempt fails.
      */
-    acquireSlot(request: types.RoutedRequest, excludedUpstreamIds: Set<string>, progress: Pick<admission.SlotRequest, "isRetry" | "canRetry" | "mayHaveRun">): Promise<Result<admission.Slot, errors.FleetError>> {
+    async acquireSlot(request: types.RoutedRequest, excludedUpstreamIds: Set<string>, progress: Pick<admission.SlotRequest, "isRetry" | "canRetry" | "mayHaveRun">): Promise<Result<admission.Slot, errors.FleetError>> {
         const { route } = request;
         request.progress.setWait({ kind: "slot" });
         const now = this.context.clock.getNow();
@@ -171,7 +187,7 @@
         if (untried.length === 0) {
             excludedUpstreamIds.clear();
         }
-        return this.options.admission.acquireSlot({
+        const slot = await this.options.admission.acquireSlot({
             service: route.service,
             route: route.name,
             rankIndex: route.rankIndex,
@@ -185,6 +201,15 @@
             getAbortError: () => errors.createError("callerGone"),
             getMedianLatencyMs: () => this.latencies.getQuantile(route.service, route.name, 0.5),
         });
+        if (slot.isOk() && !progress.mayHaveRun && this.shutdownTimes !== undefined && !drainAdmission.isSendable(this.getRequestTimes(request), this.shutdownTimes)) {
+            slot.value.release("cancelled");
+            return err({ ...errors.createError("draining", "the instance stops before the request, which waited for a slot, can be expected to end"), retryAfterMs: 0 });
+        }
+        return slot;
+    }
+
+    private getRequestTimes({ route, deadlineAt }: Pick<types.RoutedRequest, "route" | "deadlineAt">): drainAdmission.RequestTimes {
+        return { now: this.context.clock.getNow(), deadlineAt, usualLatencyMs: this.latencies.getQuantile(route.service, route.name, usualLatencyQuantile) };
     }
 
     /**
--- a/test/requests/executorContext.test.ts
+++ b/test/requests/executorContext.test.ts
@@ -4,6 +4,7 @@
  */
 
 import type * as http from "node:http";
+import { ok } from "neverthrow";
 import * as promClient from "prom-client";
 import tap from "tap";
 import * as clock from "../../src/kernel/clock.js";
@@ -44,3 +45,30 @@
     t.equal(await doTest("shed", 100, { retrySlack: 5 }), false, "the budget has a retry, but the deadline comes before the response");
     t.equal(await doTest("shed", 300, { retrySlack: 5, attemptMs: 300 }), false, "the upstreams take longer to reject than the time left");
 });
+
+void tap.test("a request that waited for a slot at a stopping instance", async t => {
+    const doTest = async (remainingMs: number, { mayHaveRun = false, usualLatencyMs = 100 } = {}) => {
+        const time = clock.createVirtualClock();
+        const released: string[] = [];
+        const executor = new executorContext.ExecutorContext({
+            context: { clock: time, identity: { failureDomain: "north" }, metrics: new promClient.Registry(), settings: { retryRatio: 0, retrySlack: 0, retryWindowS: 10 } },
+            pool: { latencies: { getQuantile: () => usualLatencyMs }, getServicePool: () => undefined },
+            admission: {
+                acquireSlot: () => {
+                    time.addTime(1_000);
+                    return Promise.resolve(ok({ release: (outcome: string) => released.push(outcome) }));
+                },
+            },
+            agent: {} as http.Agent,
+            countInstances: () => 1,
+        } as unknown as executorContext.CreateExecutorContextOptions);
+        const endsAt = time.getNow() + 1_000 + remainingMs;
+        executor.setShutdownTimes({ endsAt, estimatesEndAt: endsAt });
+        const request = { route: { service: "desk", name: "r" }, deadlineAt: endsAt + 1_000, progress: { setWait: () => {} } };
+        const slot = await executor.acquireSlot(request as unknown as types.RoutedRequest, new Set(), { isRetry: false, canRetry: false, mayHaveRun });
+        return slot.match(() => "sent", error => `${error.kind}, slot ${released.join()}`);
+    };
+    t.equal(await doTest(200), "sent", "enough time is left");
+    t.equal(await doTest(199), "draining, slot cancelled", "too little time is left, so it is refused as not executed and its slot is released");
+    t.equal(await doTest(199, { mayHaveRun: true }), "sent", "an earlier attempt may have run it, so another upstream may still answer it");
+});
