Read what has arrived before a stopping instance closes connections

Callers saw: requests sent to a stopping instance that stood still as its port was to close were reset without an answer. Cause: after a stall the event loop runs due timers before it polls for input, so the port closed before the connections that waited to be accepted were accepted and before requests on idle connections were read; closing them resets them. The same order ended the shutdown before responses of upstreams were read. Ruled out: two polls are not enough (1 of 8 still reset, 3 of 3 runs): the event loop accepts one connection a poll. Change: before the port closes, and before each look at what is in flight, the process polls until no further connection is accepted, and once more for the requests on them.

--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -111,6 +111,7 @@
         // Callers would send further requests on connections whose response began before the shutdown.
         this.connections.listOpenResponses().filter(response => !response.headersSent).forEach(response => response.setHeader("connection", "close"));
         await this.wait(portClosesAt - now);
+        await this.connections.waitUntilRead();
         this.connections.stopListening();
         const closedIdle = this.connections.closeIdle();
         this.drainLog.writePortClosed(closedIdle, this.connections.countConnections());
@@ -130,8 +131,10 @@
     }
 
     private async waitForRequests(until: number): Promise<void> {
+        await this.connections.waitUntilRead();
         while (this.countInFlight() > 0 && this.options.context.clock.getNow() < until) {
             await this.wait(drainPollIntervalMs);
+            await this.connections.waitUntilRead();
         }
     }
 
--- a/src/kernel/httpConnections.ts
+++ b/src/kernel/httpConnections.ts
@@ -5,6 +5,8 @@
 
 /** How often `waitUntilWritten` checks for open responses, in milliseconds. */
 const pollIntervalMs = 5;
+/** The number of connections that wait at most to be accepted; the default of Node.js. */
+const listenBacklog = 511;
 
 interface Connection {
     readonly responses: Set<http.ServerResponse>;
@@ -29,10 +31,14 @@
  */
 export class HttpConnections {
     private readonly connections = new Map<net.Socket, Connection>();
+    private acceptedCount = 0;
 
     /** @param server - The server; create the tracker before it listens. */
     constructor(private readonly server: http.Server) {
-        server.on("connection", (socket: net.Socket) => this.addConnection(socket));
+        server.on("connection", (socket: net.Socket) => {
+            this.acceptedCount += 1;
+            this.addConnection(socket);
+        });
         server.prependListener("request", (request: http.IncomingMessage, response: http.ServerResponse) => this.addResponse(request.socket, response));
     }
 
@@ -46,6 +52,23 @@
         return this.connections.get(socket)?.responses.size ?? 0;
     }
 
+    /**
+     * Waits until all that the operating system has received for this server was read.
+     * @remarks After a stall, due timers run before the event loop polls for input.
+     */
+    async waitUntilRead(): Promise<void> {
+        // Each poll accepts one connection, and a later one reads its request.
+        let acceptedBefore: number;
+        let polls = 0;
+        do {
+            acceptedBefore = this.acceptedCount;
+            await waitForPoll();
+            polls += 1;
+        }
+        while (this.acceptedCount > acceptedBefore && polls < listenBacklog);
+        await waitForPoll();
+    }
+
     /** Accepts no further connections; those that are open stay so. */
     stopListening(): void {
         net.Server.prototype.close.call(this.server);
@@ -102,3 +125,8 @@
         return connection;
     }
 }
+
+/** Waits until the event loop has polled for input. */
+function waitForPoll(): Promise<void> {
+    return new Promise(resolve => setImmediate(resolve));
+}
