Count the time of a planned stop from when its signal may have come

What callers saw: a process that was short of processor time around its SIGTERM took requests later than the grace for old entries answers allows, and was killed by the platform with them in flight, orders among them.

Cause: both the closing of the port and the end of the shutdown were counted from when the signal was handled; the platform counts from when it sent it. A process that handles it 0.8 s late closes its port 3.8 s after the signal and ends at 6.4 s, but is killed at 6.

Change: the check for stalls, which ran every 250 ms already, knows since when the process may not have run (kernel/stallWatch.ts). A check that is overdue by more than 50 ms, or was when it last ran, dates the request of the stop to the check before it. The port's closing is moved by at most 1 s, and is never sooner than a lifetime of entries answers after the signal was handled; the end is moved by at most 0.6 s, since ending sooner cuts what could be completed. A process that is not stalled stops as before, and wakes up no more often. instance-draining says how late it was (delayMs).

Left: a delay below 300 ms is not seen, and one above 1 s is seen in part.

--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -19,8 +19,8 @@
 const drainPollIntervalMs = 20;
 /** How long before the end of a shutdown queued requests are refused, so that their responses are still sent. */
 const queueRejectionLeadMs = 100;
-/** How late a busy process is assumed to handle the signal that stops it, in milliseconds. */
-const signalDelayMs = 500;
+/** The longest delay with which a busy process handles the signal that stops it and that it does not notice, in milliseconds. */
+const unseenDelayMs = 500;
 /** How often Node.js checks connections against the header timeout, in milliseconds. */
 const connectionCheckIntervalMs = 500;
 
@@ -100,17 +100,18 @@
      * @param shutdown - The shutdown, with its end.
      */
     async drain(shutdown: plugins.Shutdown): Promise<void> {
-        const { endsAt } = shutdown;
-        const { context: { settings: serveSettings, clock }, mesh, executor } = this.options;
-        const now = clock.getNow();
-        const portClosesAt = Math.max(now, Math.min(endsAt, now + serveSettings.entriesTtlMs + serveSettings.entriesGraceMs));
+        const { requestedAt, startedAt, endsAt } = shutdown;
+        const { context: { settings: { entriesTtlMs, entriesGraceMs }, clock }, mesh, executor } = this.options;
+        const entriesExpireAt = requestedAt + entriesTtlMs + entriesGraceMs;
+        // Peers list this instance until now, also if the signal was handled late.
+        const portClosesAt = Math.min(endsAt, Math.max(entriesExpireAt, startedAt + entriesTtlMs));
         mesh.setMember({ state: "draining" });
         this.isDraining = true;
         this.drainLog.start(shutdown);
-        executor.setShutdownTimes({ endsAt, estimatesEndAt: portClosesAt - signalDelayMs });
+        executor.setShutdownTimes({ endsAt, estimatesEndAt: entriesExpireAt - unseenDelayMs });
         // Callers would send further requests on connections whose response began before the shutdown.
         this.connections.listOpenResponses().filter(response => !response.headersSent).forEach(response => response.setHeader("connection", "close"));
-        await this.wait(portClosesAt - now);
+        await this.wait(Math.max(0, portClosesAt - clock.getNow()));
         await this.connections.waitUntilRead();
         this.connections.stopListening();
         const closedIdle = this.connections.closeIdle();
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -118,13 +118,19 @@
 
     private async drainAndStop(): Promise<void> {
         const { clock: systemClock, loop: timers, logger: log, settings: serveSettings } = this.context;
-        const timeoutMs = shutdown.computeShutdownTimeoutMs(serveSettings);
-        this.state = "draining";
         const startedAt = systemClock.getNow();
+        const current = shutdown.computeShutdown({ settings: serveSettings, requestedAt: this.stalls.getEarliestArrivalAt(), startedAt });
+        const timeoutMs = current.endsAt - startedAt;
+        this.state = "draining";
         const killAfterMs = serveSettings.killAfterS === 0 ? undefined : Math.round(serveSettings.killAfterS * millisecondsPerSecond);
-        log.writeInfo("instance-draining", "graceful shutdown started", { timeoutMs, killAfterMs, stalledMs: Math.round(this.stalls.getStallMs()) });
+        log.writeInfo("instance-draining", "graceful shutdown started", {
+            timeoutMs: Math.round(timeoutMs),
+            killAfterMs,
+            delayMs: Math.round(startedAt - current.requestedAt),
+            stalledMs: Math.round(this.stalls.getStallMs()),
+        });
         this.stalls.takeLongestStallMs();
-        const drained = shutdown.drainPlugins({ plugins: this.runningPlugins, shutdown: { startedAt, endsAt: startedAt + timeoutMs }, logger: log });
+        const drained = shutdown.drainPlugins({ plugins: this.runningPlugins, shutdown: current, logger: log });
         // A plug-in that waits for an external system must not delay the exit past the time at which the platform kills the process.
         await Promise.race([drained, new Promise<void>(resolve => timers.scheduleOnce(timeoutMs + drainOverrunMs, resolve))]);
         timers.stop();
--- a/src/kernel/plugins.ts
+++ b/src/kernel/plugins.ts
@@ -5,7 +5,9 @@
 
 /** A graceful shutdown of the process. */
 export interface Shutdown {
-    /** When the shutdown began, in monotonic milliseconds. */
+    /** When it was requested, in monotonic milliseconds; before `startedAt` if the process was stalled meanwhile. */
+    readonly requestedAt: number;
+    /** When its first step ran, in monotonic milliseconds. */
     readonly startedAt: number;
     /** When the shutdown ends and what is still in flight is cut, in monotonic milliseconds. */
     readonly endsAt: number;
--- a/src/kernel/shutdown.ts
+++ b/src/kernel/shutdown.ts
@@ -9,9 +9,26 @@
 const exitReserveMs = 400;
 const millisecondsPerSecond = 1_000;
 
-/** Returns how long a graceful shutdown may take, in milliseconds. */
-export function computeShutdownTimeoutMs({ drainTimeoutMs, killAfterS }: Pick<settings.ServeSettings, "drainTimeoutMs" | "killAfterS">): number {
-    return killAfterS === 0 ? drainTimeoutMs : Math.min(drainTimeoutMs, Math.max(0, killAfterS * millisecondsPerSecond - exitReserveMs));
+/** By how much a shutdown is shortened at most because its first step was delayed; if more, it would cut requests that can still be completed. */
+const maximumShorteningMs = 600;
+
+/** Options of computing a shutdown. Times are in monotonic milliseconds. */
+export interface ComputeShutdownOptions {
+    readonly settings: Pick<settings.ServeSettings, "drainTimeoutMs" | "killAfterS">;
+    /** When the shutdown was requested. */
+    readonly requestedAt: number;
+    /** When its first step ran. */
+    readonly startedAt: number;
+}
+
+/** Computes when a graceful shutdown ends. The platform counts the time until it kills the process from the request. */
+export function computeShutdown({ settings: { drainTimeoutMs, killAfterS }, requestedAt, startedAt }: ComputeShutdownOptions): plugins.Shutdown {
+    const timeoutEndsAt = startedAt + drainTimeoutMs;
+    if (killAfterS === 0) {
+        return { requestedAt, startedAt, endsAt: timeoutEndsAt };
+    }
+    const countedFrom = Math.max(requestedAt, startedAt - maximumShorteningMs);
+    return { requestedAt, startedAt, endsAt: Math.min(timeoutEndsAt, Math.max(startedAt, countedFrom + killAfterS * millisecondsPerSecond - exitReserveMs)) };
 }
 
 /** A plug-in that is to drain. */
--- a/src/kernel/stallWatch.ts
+++ b/src/kernel/stallWatch.ts
@@ -1,4 +1,4 @@
-/** Notices stalls of the process: times in which it was suspended or short of CPU time. */
+/** Notices stalls of the process, in which it was suspended or short of CPU time, and since when a signal may have waited. */
 
 import type * as clock from "./clock.js";
 import type * as logger from "./logger.js";
@@ -8,6 +8,10 @@
 const checkIntervalMs = 250;
 /** A check delayed by at least this much is logged as a stall, since it explains the events logged after it. */
 const loggedStallMs = 1_000;
+/** A check delayed by more than this shows that the process was stalled, as for timers of the loop. */
+const lateThresholdMs = 50;
+/** How far back the arrival of a signal is dated at most; during a longer stall it more likely came later. */
+const maximumBackdatingMs = 1_000;
 
 /** Options of `StallWatch`. */
 export interface CreateStallWatchOptions {
@@ -19,6 +23,7 @@
 /** Checks periodically whether the event loop runs, and logs long stalls. */
 export class StallWatch {
     private lastCheckAt: number | undefined;
+    private previousCheckAt: number | undefined;
     private lastDelayMs = 0;
     private longestStallMs = 0;
 
@@ -39,6 +44,15 @@
         return Math.max(this.computeDelayMs(), this.lastDelayMs);
     }
 
+    /**
+     * Returns the earliest time at which a signal that is handled now may have arrived, in monotonic milliseconds: now
+     * while the process keeps running, otherwise the last check before the stall, at most one second ago.
+     */
+    getEarliestArrivalAt(): number {
+        const now = this.options.clock.getNow();
+        return Math.max(this.getLastTimelyCheckAt() ?? now, now - maximumBackdatingMs);
+    }
+
     /** Returns the longest stall since the last call, in milliseconds, and begins anew. */
     takeLongestStallMs(): number {
         const stallMs = Math.max(this.longestStallMs, this.computeDelayMs());
@@ -49,6 +63,7 @@
     private runCheck(): void {
         this.lastDelayMs = this.computeDelayMs();
         this.longestStallMs = Math.max(this.longestStallMs, this.lastDelayMs);
+        this.previousCheckAt = this.lastCheckAt;
         this.lastCheckAt = this.options.clock.getNow();
         if (this.lastDelayMs >= loggedStallMs) {
             const gapMs = Math.round(this.lastDelayMs + checkIntervalMs);
@@ -56,6 +71,14 @@
         }
     }
 
+    /** Returns when the last check before a present stall ran; undefined without a stall. */
+    private getLastTimelyCheckAt(): number | undefined {
+        if (this.computeDelayMs() > lateThresholdMs) {
+            return this.lastCheckAt;
+        }
+        return this.lastDelayMs > lateThresholdMs ? this.previousCheckAt : undefined;
+    }
+
     /** Returns by how much the next check is overdue. */
     private computeDelayMs(): number {
         const { lastCheckAt } = this;
--- /dev/null
+++ b/test/integration.lateSignal.test.ts
@@ -0,0 +1,54 @@
+/**
+ * Guards against a shutdown that counts its time from when a process that had been short of processor time came to handle the
+ * signal: it took requests after its port should have closed, and the platform killed it before its own end.
+ */
+
+import tap from "tap";
+import * as platform from "./harness/platform.js";
+
+const killAfterS = 6;
+const stallMs = 800;
+/** Later than the lifetime of entries answers and their grace, counted from the signal. */
+const lateRequestMs = 3_200;
+const usualWorkMs = 100;
+const longWorkMs = 9_000;
+const slowWorkMs = 4_000;
+const settleMs = 500;
+
+void tap.test("a planned stop whose signal is handled late", async t => {
+    const testPlatform = await platform.startPlatform(2, [
+        { name: "look", prefix: "/look/", kind: "safe", service: "vault", timeoutMs: 12_000 },
+        { name: "order", prefix: "/order/", kind: "unsafe", service: "desk", timeoutMs: 12_000 },
+    ]);
+    t.teardown(() => testPlatform.stop());
+    await testPlatform.registerWorker(1, { service: "vault" });
+    const [worker, longWorker] = testPlatform.workers;
+    const instance = await testPlatform.startInstance("north", { "kill-after-s": killAfterS, "entries-ttl-ms": 1_000, "entries-grace-ms": 2_000, "drain-timeout-ms": 600_000 });
+    await platform.waitUntilReady(instance);
+    const wait = (delayMs: number) => new Promise(resolve => setTimeout(resolve, delayMs));
+    const send = (path: string, requestId: string) =>
+        instance.send(path, { method: path === "/look/1" ? "GET" : "POST", deadlineMs: 12_000, requestId }).then(({ status, isComplete }) => ({ status, isComplete }), (error: Error) => ({ status: error.message, isComplete: false }));
+    await worker!.setBehaviour({ workMs: usualWorkMs });
+    await longWorker!.setBehaviour({ workMs: longWorkMs });
+    for (let index = 0; index < 20; index += 1) {
+        await send("/order/1", `usual-${index}`);
+    }
+    const inFlight = send("/look/1", "long");
+    await wait(settleMs);
+
+    const { process: testProcess } = instance;
+    const signalledAt = performance.now();
+    const killed = setTimeout(() => testProcess.sendSignal("SIGKILL"), killAfterS * 1_000);
+    testProcess.sendSignal("SIGSTOP");
+    testProcess.sendSignal("SIGTERM");
+    await wait(stallMs);
+    testProcess.sendSignal("SIGCONT");
+    await wait(lateRequestMs - (performance.now() - signalledAt));
+    await worker!.setBehaviour({ workMs: slowWorkMs });
+    const late = await send("/order/1", "late");
+    t.equal(await testProcess.waitForExit(), 0, "the process ends before the platform kills it");
+    clearTimeout(killed);
+    await inFlight;
+    const { runs } = await worker!.getState<{ readonly runs: Readonly<Record<string, number>>; }>();
+    t.ok(runs.late === undefined || late.isComplete, `a request that was sent ${lateRequestMs} ms after the signal and ran is answered: ${late.status}`);
+});
--- a/test/kernel/shutdown.test.ts
+++ b/test/kernel/shutdown.test.ts
@@ -5,13 +5,19 @@
 import * as shutdown from "../../src/kernel/shutdown.js";
 
 void tap.test("the time for a graceful shutdown", async t => {
-    const doTest = (drainTimeoutMs: number, killAfterS: number, expected: number) => t.equal(shutdown.computeShutdownTimeoutMs({ drainTimeoutMs, killAfterS }), expected, `${drainTimeoutMs} ms, killed after ${killAfterS} s`);
+    const now = 50_000;
+    const doTest = (drainTimeoutMs: number, killAfterS: number, expected: number, delayMs = 0) =>
+        t.equal(shutdown.computeShutdown({ settings: { drainTimeoutMs, killAfterS }, requestedAt: now - delayMs, startedAt: now }).endsAt - now, expected, `${drainTimeoutMs} ms, killed after ${killAfterS} s, ${delayMs} ms late`);
     doTest(900_000, 6, 5_600);
     doTest(900_000, 10, 9_600);
     doTest(900_000, 2.5, 2_100);
     doTest(3_000, 10, 3_000);
     doTest(900_000, 0, 900_000);
     doTest(900_000, 0.1, 0);
+    doTest(900_000, 6, 5_100, 500);
+    doTest(900_000, 6, 5_000, 900);
+    doTest(3_000, 6, 3_000, 500);
+    doTest(900_000, 0, 900_000, 500);
 });
 
 /** Plug-ins that record when they drain; `waits` are promises that a plug-in's drain awaits. */
@@ -30,7 +36,7 @@
             },
         },
     }));
-    const ended = shutdown.drainPlugins({ plugins, shutdown: { startedAt: 0, endsAt: 0 }, logger: log });
+    const ended = shutdown.drainPlugins({ plugins, shutdown: { requestedAt: 0, startedAt: 0, endsAt: 0 }, logger: log });
     await new Promise(resolve => setImmediate(resolve));
     return { events, failures, ended };
 }
--- a/test/kernel/stallWatch.test.ts
+++ b/test/kernel/stallWatch.test.ts
@@ -1,6 +1,7 @@
 /**
- * Guards against a signal that is handled late without a line that says so. After a stall, the timer of the check runs before
- * the signal handler, so the age of the last check alone shows no stall.
+ * Guards against a shutdown that counts its time from when a stalled process came to handle the signal, and against one that
+ * does not say so. After a stall, the timer of the check runs before the signal handler, so the age of the last check alone
+ * shows no stall.
  */
 
 import tap from "tap";
@@ -20,6 +21,25 @@
         return { time, logged, watch, runCheck: () => runCheck() };
     };
 
+    await t.test("the earliest arrival of a signal", async t => {
+        const { time, watch, runCheck } = createWatch();
+        const getDelay = () => time.getNow() - watch.getEarliestArrivalAt();
+        watch.start();
+        time.addTime(250);
+        runCheck();
+        time.addTime(290);
+        t.equal(getDelay(), 0, "is now while the process keeps running");
+        time.addTime(410);
+        t.equal(getDelay(), 700, "is the last check if the next one is overdue");
+        runCheck();
+        time.addTime(10);
+        t.equal(getDelay(), 710, "is the check before the stall if the delayed check ran first");
+        time.addTime(240);
+        runCheck();
+        t.equal(getDelay(), 0, "is now once a check ran in time");
+        time.addTime(4_000);
+        t.equal(getDelay(), 1_000, "is at most one second ago");
+    });
     await t.test("before the start", async t => {
         const { time, watch } = createWatch();
         time.addTime(5_000);
