Give the last steps of a planned stop one budget that ends before the kill

What callers and operators saw: an instance whose operators, callers of the entries port and log reader do not read was still there when the platform killed it, although its shutdown had ended in time; its last log lines were lost.

Cause: 0.4 s are reserved after the end of a shutdown, but the waits after it are each counted from their own beginning: up to 50 ms for plug-ins that drain, 100 ms for the operators' responses, 100 ms more for those of the entries and readiness ports, 200 ms for the log lines, and whatever a process that is short of processor time takes between them.

Change: the shutdown says until when connections with unwritten responses stay open (0.1 s after its end) and when the process exits (0.25 s); each wait is bounded by that, and by its own limit as before.

--- a/src/callers/auxiliaryPorts.ts
+++ b/src/callers/auxiliaryPorts.ts
@@ -3,6 +3,7 @@
 import * as http from "node:http";
 import type * as context from "../kernel/context.js";
 import * as httpConnections from "../kernel/httpConnections.js";
+import type * as plugins from "../kernel/plugins.js";
 import * as settings from "../settings/index.js";
 import type * as callerRequestHandler from "./callerRequestHandler.js";
 import type * as entriesHandler from "./entriesHandler.js";
@@ -10,7 +11,7 @@
 /** How long a connection to these ports may be idle before it is closed, in milliseconds. */
 const idleConnectionTimeoutMs = 10_000;
 
-/** How long `stop` waits for responses that are still being written, in milliseconds; part of the time that a shutdown reserves for its end. */
+/** How long `stop` waits for responses that are still being written, in milliseconds; less if the time of the shutdown is over before. */
 const finalResponsesTimeoutMs = 100;
 
 /** Options of the auxiliary ports. */
@@ -37,9 +38,13 @@
         await this.openPort(serveSettings.readyListen, (_, response) => writeStatus(response, requestHandler.isReady() ? 200 : 503));
     }
 
-    /** Closes the ports and their connections, after the responses that are still being written. */
-    async stop(): Promise<void> {
-        await Promise.all(this.connections.map(connections => connections.waitUntilWritten(finalResponsesTimeoutMs)));
+    /**
+     * Closes the ports and their connections, after the responses that are still being written.
+     * @param shutdown - The shutdown, with the latest time for this.
+     */
+    async stop({ closesAt }: plugins.Shutdown): Promise<void> {
+        const limitMs = Math.min(finalResponsesTimeoutMs, closesAt - this.options.context.clock.getNow());
+        await Promise.all(this.connections.map(connections => connections.waitUntilWritten(limitMs)));
         this.connections.forEach(connections => connections.closeAll());
     }
 
--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -62,9 +62,9 @@
                 await auxiliary.start();
             },
             drain: shutdown => server.drain(shutdown),
-            stop: async () => {
+            stop: async shutdown => {
                 await server.stop();
-                await auxiliary.stop();
+                await auxiliary.stop(shutdown);
             },
             getDump: () => ({ inFlight: inFlight.countUnwritten(), retiredCalls: requestHandler.listRetiredFeatureCalls() }),
         };
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -136,12 +136,12 @@
         timers.stop();
         this.sink.removeLowSeverityLimit();
         for (const { plugin } of [...this.runningPlugins].reverse()) {
-            await plugin.stop?.();
+            await plugin.stop?.(current);
         }
         this.state = "stopped";
         const durationMs = Math.round(systemClock.getNow() - startedAt);
         log.writeInfo("instance-stopped", "graceful shutdown completed", { durationMs, overrunMs: Math.max(0, durationMs - timeoutMs), longestStallMs: Math.round(this.stalls.takeLongestStallMs()) });
-        await this.sink.waitUntilWritten(finalLogFlushTimeoutMs);
+        await this.sink.waitUntilWritten(Math.min(finalLogFlushTimeoutMs, Math.max(0, current.exitsAt - systemClock.getNow())));
         this.stopListeners.forEach(listener => listener());
     }
 }
--- a/src/kernel/plugins.ts
+++ b/src/kernel/plugins.ts
@@ -11,6 +11,10 @@
     readonly startedAt: number;
     /** When the shutdown ends and what is still in flight is cut, in monotonic milliseconds. */
     readonly endsAt: number;
+    /** When connections on which a response is still being written are closed at the latest. */
+    readonly closesAt: number;
+    /** When the process exits at the latest. */
+    readonly exitsAt: number;
 }
 
 /** A running plug-in. */
@@ -24,7 +28,7 @@
     /** Accepts no new work and completes the work in flight, until the shutdown ends. */
     readonly drain?: (shutdown: Shutdown) => Promise<void>;
     /** Closes ports and connections. */
-    readonly stop?: () => Promise<void>;
+    readonly stop?: (shutdown: Shutdown) => Promise<void>;
     /** Returns the plug-in's state for the dump, as plain data. */
     readonly getDump?: () => unknown;
 }
--- a/src/kernel/shutdown.ts
+++ b/src/kernel/shutdown.ts
@@ -7,6 +7,10 @@
 
 /** Time before the platform kills the process in which connections close and the last log lines are written. */
 const exitReserveMs = 400;
+/** The part of the reserve, from its beginning, in which the other ports' responses may still be written. */
+const finalResponsesMs = 100;
+/** The part of the reserve, from its beginning, after which the process exits; the rest is for a process that is short of CPU time. */
+const exitMs = 250;
 const millisecondsPerSecond = 1_000;
 
 /** By how much a shutdown is shortened at most because its first step was delayed; if more, it would cut requests that can still be completed. */
@@ -23,12 +27,10 @@
 
 /** Computes when a graceful shutdown ends. The platform counts the time until it kills the process from the request. */
 export function computeShutdown({ settings: { drainTimeoutMs, killAfterS }, requestedAt, startedAt }: ComputeShutdownOptions): plugins.Shutdown {
-    const timeoutEndsAt = startedAt + drainTimeoutMs;
-    if (killAfterS === 0) {
-        return { requestedAt, startedAt, endsAt: timeoutEndsAt };
-    }
     const countedFrom = Math.max(requestedAt, startedAt - maximumShorteningMs);
-    return { requestedAt, startedAt, endsAt: Math.min(timeoutEndsAt, Math.max(startedAt, countedFrom + killAfterS * millisecondsPerSecond - exitReserveMs)) };
+    const latestEndAt = killAfterS === 0 ? Infinity : Math.max(startedAt, countedFrom + killAfterS * millisecondsPerSecond - exitReserveMs);
+    const endsAt = Math.min(startedAt + drainTimeoutMs, latestEndAt);
+    return { requestedAt, startedAt, endsAt, closesAt: endsAt + finalResponsesMs, exitsAt: endsAt + exitMs };
 }
 
 /** A plug-in that is to drain. */
--- a/src/operators/index.ts
+++ b/src/operators/index.ts
@@ -28,6 +28,6 @@
             tlsFiles: peers.readTlsFiles(context.settings),
         };
         const server = new operatorServer.OperatorServer(options);
-        return { open: () => server.start(), stop: () => server.stop() };
+        return { open: () => server.start(), stop: shutdown => server.stop(shutdown) };
     },
 });
--- a/src/operators/operatorServer.ts
+++ b/src/operators/operatorServer.ts
@@ -4,6 +4,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as httpConnections from "../kernel/httpConnections.js";
+import type * as plugins from "../kernel/plugins.js";
 import * as settings from "../settings/index.js";
 import type * as operatorService from "./operatorService.js";
 
@@ -11,7 +12,7 @@
 const maximumMessageBytes = 64 * 1024 * 1024;
 /** The path prefix of RPC calls. */
 const rpcPathPrefix = "/agatebend.v1.OperatorService/";
-/** How long `stop` waits for responses that are still being written, in milliseconds; part of the time that a shutdown reserves for its end. */
+/** How long `stop` waits for responses that are still being written, in milliseconds; less if the time of the shutdown is over before. */
 const finalResponsesTimeoutMs = 100;
 /** The paths that are served without the shared secret. */
 const unauthenticatedPaths: ReadonlySet<string> = new Set(["/healthz", "/readyz"]);
@@ -51,9 +52,12 @@
         this.options.context.logger.writeInfo("operators-port-open", `listening for operators at ${operatorAddress}`, { address: operatorAddress });
     }
 
-    /** Closes the port and every connection, after the responses that are still being written. */
-    async stop(): Promise<void> {
-        await this.connections.waitUntilWritten(finalResponsesTimeoutMs);
+    /**
+     * Closes the port and every connection, after the responses that are still being written.
+     * @param shutdown - The shutdown, with the latest time for this.
+     */
+    async stop({ closesAt }: plugins.Shutdown): Promise<void> {
+        await this.connections.waitUntilWritten(Math.min(finalResponsesTimeoutMs, closesAt - this.options.context.clock.getNow()));
         this.connections.closeAll();
     }
 
--- a/test/kernel/shutdown.test.ts
+++ b/test/kernel/shutdown.test.ts
@@ -20,6 +20,12 @@
     doTest(900_000, 0, 900_000, 500);
 });
 
+void tap.test("every step of a shutdown has its latest time, all before the platform kills the process", async t => {
+    const now = 50_000;
+    const { endsAt, closesAt, exitsAt } = shutdown.computeShutdown({ settings: { drainTimeoutMs: 900_000, killAfterS: 6 }, requestedAt: now - 300, startedAt: now });
+    t.ok(now < endsAt && endsAt < closesAt && closesAt < exitsAt && exitsAt < now + 5_700, `${endsAt}, ${closesAt}, ${exitsAt}`);
+});
+
 /** Plug-ins that record when they drain; `waits` are promises that a plug-in's drain awaits. */
 async function listDrained(dependencies: Readonly<Record<string, readonly string[]>>, drains: Readonly<Record<string, () => Promise<void>>>) {
     const events: string[] = [];
@@ -36,7 +42,7 @@
             },
         },
     }));
-    const ended = shutdown.drainPlugins({ plugins, shutdown: { requestedAt: 0, startedAt: 0, endsAt: 0 }, logger: log });
+    const ended = shutdown.drainPlugins({ plugins, shutdown: { requestedAt: 0, startedAt: 0, endsAt: 0, closesAt: 0, exitsAt: 0 }, logger: log });
     await new Promise(resolve => setImmediate(resolve));
     return { events, failures, ended };
 }
