Set no timer for each piece of a body

What callers saw: while upstreams sent bodies in pieces of one byte without end, an instance that was short of processor time answered requests up to 2.4 s after their deadline (test/integration.endlessPieces.test.ts beside load, KNOWN-RED).

Cause, in part: each piece cancelled the idle timer and set a new one, and for lookups asked the retry budget.

Change: kernel/idleTimer.ts notes the time of a piece; a timer that fires too early is set again, at most a second later. Used for bodies of requests, of responses that are read whole and of those that are relayed.

Most of the time left is the parser's.

--- a/src/callers/readBody.ts
+++ b/src/callers/readBody.ts
@@ -7,6 +7,7 @@
 import * as errors from "../kernel/errors.js";
 import * as framingCheck from "../kernel/framingCheck.js";
 import type * as heldBytes from "../kernel/heldBytes.js";
+import * as idleTimer from "../kernel/idleTimer.js";
 
 /** Options of reading a request body. */
 export interface ReadBodyOptions {
@@ -20,7 +21,7 @@
 
 /** Reads a complete request body. */
 export function readBody({ context, request, limitBytes = Infinity, reservation }: ReadBodyOptions): Promise<Result<Buffer, errors.FleetError>> {
-    const { settings, loop } = context;
+    const { settings, loop, clock } = context;
     const maximumBytes = Math.min(limitBytes, settings.requestBodyBytes);
     const declaredBytes = Number(request.headers["content-length"] ?? 0);
     if (declaredBytes > maximumBytes) {
@@ -29,13 +30,14 @@
     return new Promise(resolve => {
         const body = new bodyBuffer.BodyBuffer({ maximumBytes, reservation, kind: "request" });
         const isFramingInProportion = framingCheck.createFramingCheck(request.socket);
-        let cancelIdleTimer = () => {};
-        const startIdleTimer = () => {
-            cancelIdleTimer();
-            cancelIdleTimer = loop.scheduleOnce(settings.bodyIdleTimeoutMs, () => fail(errors.createError("badRequest", `received no body data for ${settings.bodyIdleTimeoutMs} ms`)));
-        };
+        const timer = new idleTimer.IdleTimer({
+            clock,
+            loop,
+            getLimitMs: () => settings.bodyIdleTimeoutMs,
+            onIdle: () => fail(errors.createError("badRequest", `received no body data for ${settings.bodyIdleTimeoutMs} ms`)),
+        });
         const stop = () => {
-            cancelIdleTimer();
+            timer.stop();
             request.off("data", onData);
         };
         const fail = (error: errors.FleetError) => {
@@ -44,7 +46,7 @@
             resolve(err(error));
         };
         const onData = (piece: Buffer) => {
-            startIdleTimer();
+            timer.restart();
             const failure = body.add(piece);
             if (failure !== undefined) {
                 fail(failure === "tooLarge" ? createBodyTooLargeError(maximumBytes) : createMemoryFullError());
@@ -61,7 +63,7 @@
             request.removeAllListeners("close");
             resolve(ok(body.takeBody()));
         });
-        startIdleTimer();
+        timer.restart();
     });
 }
 
--- a/src/requests/readResponse.ts
+++ b/src/requests/readResponse.ts
@@ -6,6 +6,7 @@
 import type * as context from "../kernel/context.js";
 import * as framingCheck from "../kernel/framingCheck.js";
 import type * as heldBytes from "../kernel/heldBytes.js";
+import * as idleTimer from "../kernel/idleTimer.js";
 import * as responseIntegrity from "./responseIntegrity.js";
 import * as headers from "./headers.js";
 import type * as types from "./types.js";
@@ -31,9 +32,8 @@
     return new Promise(resolve => {
         const body = new bodyBuffer.BodyBuffer({ maximumBytes, reservation, kind: "response" });
         const isFramingInProportion = framingCheck.createFramingCheck(response.socket);
-        let cancelIdleTimer = () => {};
         const finish = (result: Result<types.BufferedResponse, ReadFailure>) => {
-            cancelIdleTimer();
+            timer.stop();
             cancelTimeLimit();
             response.off("data", onData);
             if (result.isErr()) {
@@ -42,12 +42,9 @@
             }
             resolve(result);
         };
-        const startIdleTimer = () => {
-            cancelIdleTimer();
-            cancelIdleTimer = loop.scheduleOnce(settings.bodyIdleTimeoutMs, () => finish(err("broken")));
-        };
+        const timer = new idleTimer.IdleTimer({ clock, loop, getLimitMs: () => settings.bodyIdleTimeoutMs, onIdle: () => finish(err("broken")) });
         const onData = (piece: Buffer) => {
-            startIdleTimer();
+            timer.restart();
             if (body.add(piece) !== undefined) {
                 finish(err("tooLarge"));
             }
@@ -70,6 +67,6 @@
                     : err("broken"),
             );
         });
-        startIdleTimer();
+        timer.restart();
     });
 }
--- a/src/requests/relayBody.ts
+++ b/src/requests/relayBody.ts
@@ -4,6 +4,7 @@
 import type * as context from "../kernel/context.js";
 import * as framingCheck from "../kernel/framingCheck.js";
 import type * as heldBytes from "../kernel/heldBytes.js";
+import * as idleTimer from "../kernel/idleTimer.js";
 import * as bodyWriter from "./bodyWriter.js";
 import * as responseIntegrity from "./responseIntegrity.js";
 import * as rangeResume from "./rangeResume.js";
@@ -97,14 +98,13 @@
 
 /** Relays the body of one upstream response: the original one or a continuation. `onBytes` returns whether the body may go on. */
 function relayPart(options: RelayBodyOptions, writer: bodyWriter.BodyWriter, part: http.IncomingMessage, onBytes: (count: number) => boolean): Promise<PartResult> {
-    const { caller, context: { loop, settings } } = options;
+    const { caller, context: { clock, loop, settings } } = options;
     const idleMs = options.resumable === undefined ? settings.bodyIdleTimeoutMs : Math.min(resumableIdleTimeoutMs, settings.bodyIdleTimeoutMs);
     return new Promise(resolve => {
         const isFramingInProportion = framingCheck.createFramingCheck(part.socket);
         let partBytes = 0;
-        let cancelIdleTimer = () => {};
         const finish = (result: PartResult) => {
-            cancelIdleTimer();
+            timer.stop();
             cancelDeadline();
             writer.setBackpressureListener(() => {});
             caller.off("drain", resume);
@@ -115,15 +115,16 @@
             }
             resolve(result);
         };
-        const startIdleTimer = () => {
-            cancelIdleTimer();
-            const idleLimitMs = writer.isHoldingBack() && options.hasRetryLeft() ? Math.min(bufferingIdleTimeoutMs, idleMs) : idleMs;
-            cancelIdleTimer = loop.scheduleOnce(idleLimitMs, () => finish("broken"));
-        };
+        const timer = new idleTimer.IdleTimer({
+            clock,
+            loop,
+            getLimitMs: () => writer.isHoldingBack() && options.hasRetryLeft() ? Math.min(bufferingIdleTimeoutMs, idleMs) : idleMs,
+            onIdle: () => finish("broken"),
+        });
         const cancelDeadline = loop.scheduleOnce(Math.max(0, options.getRemainingMs()), () => finish(caller.writableNeedDrain ? "deadlineOfSlowCaller" : "deadline"));
         // The idle timer is stopped while a slow caller applies backpressure, because the upstream does not cause that pause.
         const resume = () => {
-            startIdleTimer();
+            timer.restart();
             part.resume();
         };
         const onCallerClose = () => finish("callerGone");
@@ -137,11 +138,11 @@
                 finish("broken");
                 return;
             }
-            startIdleTimer();
+            timer.restart();
             writer.write(chunk);
         };
         const onBackpressure = () => {
-            cancelIdleTimer();
+            timer.stop();
             part.pause();
         };
         const finishPart = () => finish(responseIntegrity.isComplete(part) ? "ended" : "broken");
@@ -152,7 +153,7 @@
         part.on("close", finishPart);
         part.on("end", finishPart);
         part.on("data", onData);
-        startIdleTimer();
+        timer.restart();
         if (caller.destroyed) {
             finish("callerGone");
         }
