Let the soak send late, read late and slow work down during planned stops

Why the soak missed the requests that planned stops cut: its callers sent at once on what they opened, had deadlines of 4 s and small bodies, and planned stops never overlapped slow work.

Change: callers send late on new connections, end bodies late, leave large responses unread, and use routes with 12 s; slow work and rolling restarts are new kinds of fault.

--- a/test/soak/faultInjection.ts
+++ b/test/soak/faultInjection.ts
@@ -44,6 +44,7 @@
         workerFails: () => runOnWorker(options, { failPart: failureFraction, failure: variant }, { failPart: 0 }),
         workerSpoils: () => runOnWorker(options, { spoilPart: faultyFraction, spoiled: variant }, { spoilPart: 0, spoiled: "none" }),
         workerSlow: () => runOnWorker(options, { workMs: systemUnderTest.workMs * slowFactor }, { workMs: systemUnderTest.workMs }),
+        workSlows: () => runSlowSpell(options),
         workerLeaves: () => options.system.runExclusively(`w${getWorkerIndex(options)}`, () => runWorkerRemoval(options)),
         workerRestarts: () => options.system.runExclusively(`w${getWorkerIndex(options)}`, () => registerAgain(options)),
         addressReused: () => runOnWorker(options, { id: "another" }, { id: `w${getWorkerIndex(options)}` }),
@@ -57,6 +58,7 @@
         instanceFreezes: () => runOnInstances(options, runFreeze),
         instanceKilled: () => runOnInstances(options, runKill),
         instanceStops: () => runOnInstances(options, runPlannedStop, "planned"),
+        instancesRoll: () => runRollingRestart(options),
         clockSteps: () => runOnInstances(options, async ({ instance }) => instance.process.sendSignal("SIGUSR2")),
         configurationStorm: () => runStorm(options),
         configurationSpoiled: () => store.setBehaviour({ put: { "op/config": variant === "older" ? systemUnderTest.createConfiguration(1) : { version: "none" } } }),
@@ -80,6 +82,12 @@
     });
 }
 
+async function runSlowSpell({ system, fault: { durationMs } }: RunFaultOptions): Promise<void> {
+    const endSpell = system.startSlowSpell();
+    await callers.wait(durationMs);
+    endSpell();
+}
+
 async function registerAgain(options: RunFaultOptions): Promise<void> {
     await options.system.platform.registerWorker(getWorkerIndex(options), { ...systemUnderTest.createPlacement(getWorkerIndex(options)), born: Date.now(), seq: 0 });
 }
@@ -142,18 +150,29 @@
 
 type InstanceAction = (soakInstance: systemUnderTest.SoakInstance, options: RunFaultOptions) => Promise<void>;
 
+function listTargets({ system: { instances }, fault: { variant, target } }: RunFaultOptions): readonly systemUnderTest.SoakInstance[] {
+    const count = variant === "all" ? instances.length : variant.startsWith("some") ? Math.ceil(instances.length * someFraction) : 1;
+    return Array.from({ length: count }, (_, offset) => instances[(target + offset) % instances.length]!);
+}
+
 async function runOnInstances(options: RunFaultOptions, action: InstanceAction, disturbance: "unplanned" | "planned" | "none" = "unplanned"): Promise<void> {
-    const { system, checker, fault: { variant, target } } = options;
-    const { instances } = system;
-    const count = variant === "all" ? instances.length : variant === "some" ? Math.ceil(instances.length * someFraction) : 1;
-    await Promise.all(Array.from({ length: count }, async (_, offset) => {
-        const soakInstance = instances[(target + offset) % instances.length]!;
-        await system.runExclusively(soakInstance.instance.id, async () => {
-            const endDisturbance = disturbance === "none" ? undefined : checker.addDisturbance(soakInstance.instance.id, performance.now(), disturbance);
-            await action(soakInstance, options);
-            endDisturbance?.(performance.now());
-        });
-    }));
+    await Promise.all(listTargets(options).map(soakInstance => runOnInstance(options, soakInstance, action, disturbance)));
+}
+
+async function runOnInstance(options: RunFaultOptions, soakInstance: systemUnderTest.SoakInstance, action: InstanceAction, disturbance: "unplanned" | "planned" | "none"): Promise<void> {
+    const { system, checker } = options;
+    await system.runExclusively(soakInstance.instance.id, async () => {
+        const endDisturbance = disturbance === "none" ? undefined : checker.addDisturbance(soakInstance.instance.id, performance.now(), disturbance);
+        await action(soakInstance, options);
+        endDisturbance?.(performance.now());
+    });
+}
+
+/** Stops and restarts instances one after another. */
+async function runRollingRestart(options: RunFaultOptions): Promise<void> {
+    for (const soakInstance of listTargets(options)) {
+        await runOnInstance(options, soakInstance, runPlannedStop, "planned");
+    }
 }
 
 async function runFreeze({ instance }: systemUnderTest.SoakInstance, { fault: { durationMs } }: RunFaultOptions): Promise<void> {
@@ -169,9 +188,12 @@
     await restartInstance(instance);
 }
 
-async function runPlannedStop({ instance }: systemUnderTest.SoakInstance, { checker }: RunFaultOptions): Promise<void> {
+/** Stops and restarts an instance. In the variant "someSlow", late requests during the stop often take long. */
+async function runPlannedStop({ instance }: systemUnderTest.SoakInstance, { system, checker, fault: { variant } }: RunFaultOptions): Promise<void> {
+    const endSpell = variant === "someSlow" ? system.startSlowSpell(instance.id) : undefined;
     instance.process.sendSignal("SIGTERM");
     const status = await instance.process.waitForExit(stopTimeLimitMs);
+    endSpell?.();
     if (status !== 0) {
         checker.addFinding("a planned stop ends by itself", `${instance.id} ended with ${status} after SIGTERM`);
         await instance.process.stop();
--- a/test/soak/invariants.ts
+++ b/test/soak/invariants.ts
@@ -14,12 +14,28 @@
 /** The value of `Disturbance.instance` that means all instances. */
 const everyInstance = "all";
 
+/** A run of a request at a worker, by the worker's own account. */
+export interface Run {
+    readonly startedAt: number;
+    /** When the work ended or lost its connection; Infinity if it never did. */
+    readonly endedAt: number;
+    /** Whether the work ended with a sound response. */
+    readonly isAnswered: boolean;
+}
+
 /** A request as the caller observed it. Times are in milliseconds on the monotonic clock. */
 export interface RequestRecord {
     readonly requestId: string;
     readonly instance: string;
     readonly isOrder: boolean;
+    /** The request's deadline after `sentAt`, equal to the timeout of its route. */
+    readonly deadlineMs: number;
+    /** When its first byte was sent. */
     readonly sentAt: number;
+    /** When its last byte was sent. */
+    readonly sentEntirelyAt: number;
+    /** How long the caller left the response unread. */
+    readonly unreadMs: number;
     readonly endedAt: number;
     readonly outcome:
         | { readonly kind: "answered"; readonly status: number; readonly matchesRequest: boolean; }
@@ -46,6 +62,12 @@
 const toleratedLateFraction = 0.25;
 /** The number of requests on reused connections that the platform allows an instance to lose. */
 const toleratedLostCount = 3;
+/** The platform kills a process this long after SIGTERM. */
+const graceMs = 6_000;
+/** The end of the grace. A planned stop may cut a request at which a worker is still at work then. */
+const lastWorkFraction = 1 / 6;
+/** It may do so only if the request was sent no later than this after SIGTERM. The platform sets these limits. */
+const earlyRequestMs = 3_000;
 /** The fraction of requests that must succeed after the fleet has recovered. */
 const recoveredFraction = 0.9;
 
@@ -91,11 +113,11 @@
 
     /**
      * Checks all observations and returns the violations.
-     * @param options - The number of executions of each request, the longest timeout of a route, and the time by which the fleet had recovered from the last fault.
+     * @param options - The runs of each request, and the time by which the fleet had recovered from the last fault.
      */
-    listFindings({ executions, timeoutMs, steadySince }: { readonly executions: ReadonlyMap<string, number>; readonly timeoutMs: number; readonly steadySince: number; }): readonly Finding[] {
+    listFindings({ runs, steadySince }: { readonly runs: ReadonlyMap<string, readonly Run[]>; readonly steadySince: number; }): readonly Finding[] {
         for (const { requestId, isOrder, instance, outcome } of this.requests) {
-            const executionCount = executions.get(requestId) ?? 0;
+            const executionCount = runs.get(requestId)?.length ?? 0;
             if (isOrder && executionCount > 1) {
                 this.addFinding("an order runs once at most", `${requestId} ran ${executionCount} times, through ${instance}`);
             }
@@ -106,8 +128,8 @@
                 this.addFinding("each answer is whole and the request's own", `${requestId} at ${instance}`);
             }
         }
-        this.checkTimeouts(timeoutMs);
-        this.checkLostRequests(executions);
+        this.checkTimeouts();
+        this.checkLostRequests(runs);
         this.checkRecovery(steadySince);
         return this.findings;
     }
@@ -120,21 +142,22 @@
         return this.requests.filter(({ instance, sentAt, endedAt }) => this.isUndisturbed(instance, sentAt, endedAt));
     }
 
-    private checkTimeouts(timeoutMs: number): void {
-        const timedOut = this.listUndisturbed().filter(({ sentAt, endedAt, outcome }) => endedAt - sentAt >= timeoutMs && outcome.kind !== "gaveUp");
-        const late = timedOut.filter(({ sentAt, endedAt }) => endedAt - sentAt > timeoutMs + timeoutToleranceMs);
+    private checkTimeouts(): void {
+        const getOverrunMs = ({ sentAt, endedAt, unreadMs, deadlineMs }: RequestRecord) => endedAt - sentAt - unreadMs - deadlineMs;
+        const timedOut = this.listUndisturbed().filter(request => getOverrunMs(request) >= 0 && request.outcome.kind !== "gaveUp");
+        const late = timedOut.filter(request => getOverrunMs(request) > timeoutToleranceMs);
         if (late.length >= toleratedLateCount && late.length > timedOut.length * toleratedLateFraction) {
             this.addFinding("answers come by the route's time-out", `${late.length} of ${timedOut.length} came late, first ${late[0]!.requestId}`);
         }
     }
 
     /** Checks requests that ran, but whose connection an undisturbed or stopping instance closed. */
-    private checkLostRequests(executions: ReadonlyMap<string, number>): void {
-        const closed = this.requests.filter(({ requestId, outcome }) => outcome.kind === "closed" && (executions.get(requestId) ?? 0) > 0);
+    private checkLostRequests(runs: ReadonlyMap<string, readonly Run[]>): void {
+        const closed = this.requests.filter(({ requestId, outcome }) => outcome.kind === "closed" && runs.has(requestId));
         const classified = closed.map(candidate => ({ ...candidate, disturbanceKinds: this.listDisturbances(candidate.instance, candidate.sentAt, candidate.endedAt).map(({ kind }) => kind) }));
-        const cut = classified.filter(({ disturbanceKinds }) => disturbanceKinds.length > 0 && disturbanceKinds.every(kind => kind === "planned"));
+        const cut = classified.filter(candidate => candidate.disturbanceKinds.length > 0 && candidate.disturbanceKinds.every(kind => kind === "planned") && !this.isExcused(candidate, runs.get(candidate.requestId)!));
         if (cut.length > 0) {
-            this.addFinding("a planned stop cuts nothing", cut.map(({ requestId, instance }) => `${requestId} at ${instance}`).join(", "));
+            this.addFinding("a planned stop cuts nothing", cut.map(request => this.formatCutRequest(request, runs.get(request.requestId)!)).join(", "));
         }
         for (const instance of new Set(closed.map(candidate => candidate.instance))) {
             const undisturbed = classified.filter(candidate => candidate.instance === instance && candidate.disturbanceKinds.length === 0);
@@ -144,6 +167,28 @@
         }
     }
 
+    /** Returns whether the platform excuses a planned stop that cuts the request. */
+    private isExcused({ instance, deadlineMs, sentAt, sentEntirelyAt, endedAt }: RequestRecord, runs: readonly Run[]): boolean {
+        if (endedAt - sentAt >= deadlineMs) {
+            return true;
+        }
+        return this.listDisturbances(instance, sentAt, endedAt).some(({ from: stoppedAt }) => {
+            const lastWorkAt = stoppedAt + graceMs * (1 - lastWorkFraction);
+            const isAtWork = runs.some(run => run.startedAt <= stoppedAt + graceMs && run.endedAt >= lastWorkAt);
+            return sentEntirelyAt <= stoppedAt + earlyRequestMs && isAtWork && !runs.some(run => run.isAnswered && run.endedAt < lastWorkAt);
+        });
+    }
+
+    private formatCutRequest({ requestId, instance, deadlineMs, sentAt, sentEntirelyAt, endedAt, unreadMs, outcome }: RequestRecord, runs: readonly Run[]): string {
+        const [stop] = this.listDisturbances(instance, sentAt, endedAt).slice(-1);
+        const formatTime = (time: number) => Math.round(time - (stop?.from ?? 0));
+        const runTimes = runs.map(run => `${formatTime(run.startedAt)} to ${formatTime(run.endedAt)}${run.isAnswered ? " (answered)" : ""}`).join(" and ");
+        const reason = outcome.kind === "closed" ? outcome.reason : outcome.kind;
+        return `${requestId} at ${instance} (ms after SIGTERM: sent ${formatTime(sentAt)} to ${formatTime(sentEntirelyAt)}, ran ${runTimes}, closed ${formatTime(endedAt)}: ${reason}; deadline ${deadlineMs} ms, left unread ${
+            Math.round(unreadMs)
+        } ms)`;
+    }
+
     private checkRecovery(steadySince: number): void {
         const finished = this.requests.filter(({ sentAt, outcome }) => sentAt >= steadySince && outcome.kind !== "gaveUp");
         const served = finished.filter(({ outcome }) => outcome.kind === "answered" && outcome.status === 200);
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -5,6 +5,7 @@
     workerFails: ["error", "reset", "hang", "mute"],
     workerSpoils: ["cut", "extra", "extraLate", "unframed", "unframedReset", "stall", "garbage", "wrongId", "unsealed"],
     workerSlow: [""],
+    workSlows: [""],
     workerLeaves: ["draining", "gone"],
     workerRestarts: [""],
     addressReused: [""],
@@ -18,6 +19,7 @@
     instanceFreezes: ["one", "some"],
     instanceKilled: ["one", "some", "all"],
     instanceStops: ["one", "some"],
+    instancesRoll: ["some", "someSlow"],
     clockSteps: ["forward", "back"],
     configurationStorm: [""],
     configurationSpoiled: ["older", "malformed"],
@@ -27,6 +29,9 @@
 /** The kind of a fault. */
 export type FaultKind = keyof typeof faultKinds;
 
+/** How many times as often as the others a kind is drawn, so that planned stops overlap slow work in most plans. */
+const kindWeights: { readonly [kind in FaultKind]?: number; } = { instanceStops: 4, instancesRoll: 4, workSlows: 2 };
+
 /** A planned fault. */
 export interface Fault {
     readonly kind: FaultKind;
@@ -71,10 +76,11 @@
 /** Creates the fault plan of a seed. The same options give the same plan. */
 export function createPlan({ seed, lengthMs, kinds = Object.keys(faultKinds) as FaultKind[] }: CreatePlanOptions): readonly Fault[] {
     const getRandom = createRandomGenerator(seed);
+    const weightedKinds = kinds.flatMap(kind => Array.from({ length: kindWeights[kind] ?? 1 }, () => kind));
     const choose = <T>(items: readonly T[]): T => items[Math.floor(getRandom() * items.length)]!;
     const faults: Fault[] = [];
     for (let atMs = faultFreeMs; atMs < lengthMs; atMs += -Math.log(1 - getRandom()) * meanIntervalMs) {
-        const kind = choose(kinds);
+        const kind = choose(weightedKinds);
         faults.push({
             kind,
             variant: choose<string>(faultKinds[kind]),
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -47,7 +47,10 @@
     const checker = new invariants.InvariantChecker();
     const system = await systemUnderTest.startSystem({ instances, workers });
     const runState = { isOver: false };
-    const loadCallers = Array.from({ length: callerCount }, (_, index) => new callers.Caller({ name: `c${index}`, getRandom: plan.createRandomGenerator(seed + index + 1), checker, getInstances: () => system.getInstances() }));
+    const loadCallers = Array.from(
+        { length: callerCount },
+        (_, index) => new callers.Caller({ name: `c${index}`, getRandom: plan.createRandomGenerator(seed + index + 1), checker, getInstances: () => system.getInstances(), getSlowFraction: instance => system.getSlowFraction(instance) }),
+    );
     const background = [...loadCallers.map(caller => caller.run()), runConfigurationChanges(system, checker, runState), ...system.instances.map(({ instance }) => runVersionProbes(system, instance, checker, runState))];
     await Promise.all(faults.map(async fault => {
         await callers.wait(fault.atMs);
@@ -61,7 +64,7 @@
     loadCallers.forEach(caller => caller.stop());
     await Promise.all(background);
     (await countArrivals(system)).forEach((arrived, index) => arrived === arrivalsBefore[index] ? checker.addFinding("a sound worker gets work", `w${index} got nothing for ${observationMs} ms after the last fault`) : undefined);
-    const findings = checker.listFindings({ executions: await system.countExecutions(), timeoutMs: callers.deadlineMs, steadySince });
+    const findings = checker.listFindings({ runs: await system.listRuns(), steadySince });
     await system.stop();
     if (findings.length > 0 && options.logs !== undefined) {
         writeLogs(path.join(options.logs, `seed-${seed}`), system);
--- a/test/soak/systemUnderTest.ts
+++ b/test/soak/systemUnderTest.ts
@@ -5,10 +5,21 @@
 import * as ports from "../harness/ports.js";
 import * as processes from "../harness/processes.js";
 import * as standIns from "../harness/standIns.js";
+import type * as standInWorker from "../standins/worker.js";
+import type * as invariants from "./invariants.js";
 
 const domains = ["north", "south", "east"];
 /** The time that a worker takes for a request. */
 export const workMs = 40;
+/** Routes with a long timeout. */
+export const longTimeoutMs = 12_000;
+const longRoutes: readonly platform.TestRoute[] = [
+    { name: "audit", prefix: "/audit/", kind: "safe", service: "desk", timeoutMs: longTimeoutMs },
+    { name: "dispatch", prefix: "/dispatch/", kind: "unsafe", service: "desk", timeoutMs: longTimeoutMs },
+];
+/** The fraction of late requests whose work is slow outside and during a spell of slow work. All requests of a route together must stay quick. */
+const usualSlowFraction = 0.01;
+const spellSlowFraction = 0.8;
 /** The version of the first configuration. */
 const firstVersion = 7;
 /** The number of previous versions whose marker routes a configuration keeps. */
@@ -25,6 +36,7 @@
 export class SystemUnderTest {
     private newestVersion = { version: firstVersion, acceptedAt: performance.now() };
     private lastWrittenVersion = firstVersion;
+    private readonly slowSpells = new Set<{ readonly instance: string | undefined; }>();
     private readonly locked = new Set<string>();
 
     constructor(readonly platform: platform.TestPlatform, readonly instances: readonly SoakInstance[]) {}
@@ -43,6 +55,18 @@
         return this.locked.has(resource);
     }
 
+    /** Begins a spell in which the work for late requests at an instance, or at all, is often slow. The returned function ends it. */
+    startSlowSpell(instance?: string): () => void {
+        const spell = { instance };
+        this.slowSpells.add(spell);
+        return () => this.slowSpells.delete(spell);
+    }
+
+    /** Returns the fraction of an instance's late requests whose work is slow at present. */
+    getSlowFraction(id: string): number {
+        return [...this.slowSpells].some(({ instance = id }) => instance === id) ? spellSlowFraction : usualSlowFraction;
+    }
+
     /** Returns the instances by the address of their callers' port. */
     getInstances(): ReadonlyMap<string, platform.PlatformInstance> {
         return new Map(this.instances.map(({ instance }) => [instance.addresses.caller, instance]));
@@ -70,14 +94,17 @@
         return response === undefined || response.status === 503 ? undefined : response.status !== 404;
     }
 
-    /** Counts the executions of each request over all workers. */
-    async countExecutions(): Promise<ReadonlyMap<string, number>> {
-        const counts = new Map<string, number>();
+    /** Lists the runs of each request at all workers. Times are on this process's monotonic clock. */
+    async listRuns(): Promise<ReadonlyMap<string, readonly invariants.Run[]>> {
+        const toLocal = (time: number | undefined) => time === undefined ? Infinity : time - performance.timeOrigin;
+        const runs = new Map<string, readonly invariants.Run[]>();
         for (const worker of this.platform.workers) {
-            const { runs } = await worker.getState<{ readonly runs: Readonly<Record<string, number>>; }>();
-            Object.entries(runs).forEach(([id, count]) => counts.set(id, (counts.get(id) ?? 0) + count));
+            const { runTimes } = await worker.getState<{ readonly runTimes: Readonly<Record<string, readonly standInWorker.WorkerRun[]>>; }>();
+            for (const [id, times] of Object.entries(runTimes)) {
+                runs.set(id, [...runs.get(id) ?? [], ...times.map(({ startedAt, endedAt, isAnswered }) => ({ startedAt: toLocal(startedAt), endedAt: toLocal(endedAt), isAnswered }))]);
+            }
         }
-        return counts;
+        return runs;
     }
 
     /** Ends all processes. */
@@ -97,6 +124,7 @@
     const markers = Array.from({ length: previousMarkerCount + 1 }, (_, age) => version - age).filter(markedVersion => markedVersion > firstVersion);
     return platform.createPlatformConfiguration(version, [
         ...platform.defaultRoutes,
+        ...longRoutes,
         ...markers.map((markedVersion): platform.TestRoute => ({ name: `marker-${markedVersion}`, prefix: `/marker-${markedVersion}/`, kind: "safe", service: "desk", timeoutMs: 1_000 })),
     ]);
 }
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -29,6 +29,20 @@
     retryAfter: string;
 }
 
+/** A run of a request. Times are in milliseconds since the epoch, on a monotonic clock. */
+export interface WorkerRun {
+    readonly startedAt: number;
+    /** When the worker began its response, or else lost the connection; undefined while it is at work. */
+    endedAt?: number;
+    /** Whether the work ended with a sound response. */
+    isAnswered: boolean;
+}
+
+/** The request header that prolongs the work for one request, in milliseconds. */
+const extraWorkHeader = "extra-work-ms";
+/** The request header that replaces `bodyBytes` for one request. */
+const bodyBytesHeader = "response-bytes";
+
 /** Responses that go on until the caller closes the connection: what comes first, and what is repeated. */
 const endlessResponses = {
     endlessBlankLines: { first: () => "", repeated: "\r\n".repeat(4_096) },
@@ -51,13 +65,15 @@
 export async function startWorker(id: string) {
     const behaviour: WorkerBehaviour = { id, slots: 3, queue: 12, workMs: 10, failPart: 0, failure: "error", spoilPart: 0, spoiled: "none", bodyBytes: 100, statusLine: "", headerLines: "", isLeaving: false, retryAfter: "" };
     const runs: Record<string, number> = {};
+    const runTimes: Record<string, WorkerRun[]> = {};
     const arrivalTimes: number[] = [];
     const deadlines: Record<string, number> = {};
     const counts = { arrived: 0, ran: 0, refused: 0, misdirected: 0, cancelled: 0, connections: 0 };
     let busy = 0;
     let openConnections = 0;
 
-    const createBody = (requestId: string) => `${requestId}:`.padEnd(behaviour.bodyBytes, "x");
+    const getNow = () => performance.timeOrigin + performance.now();
+    const createBody = (requestId: string, bodyBytes = behaviour.bodyBytes) => `${requestId}:`.padEnd(bodyBytes, "x");
     const writeFaultyResponse = (socket: net.Socket, requestId: string) => {
         const body = createBody(requestId);
         const formatHead = (name: string) => `HTTP/1.1 200 OK\r\nRequest-Id: ${name}\r\nResponse-Seal: seal-${behaviour.id}\r\n`;
@@ -137,6 +153,11 @@
             }
             counts.ran += 1;
             runs[requestId] = (runs[requestId] ?? 0) + 1;
+            const run: WorkerRun = { startedAt: getNow(), isAnswered: false };
+            (runTimes[requestId] ??= []).push(run);
+            response.once("close", () => {
+                run.endedAt ??= getNow();
+            });
             deadlines[requestId] = Number(request.headers["deadline-ms"] ?? NaN);
             if (Math.random() < behaviour.failPart) {
                 applyFailure(request, response, requestId);
@@ -150,9 +171,12 @@
                     writeFaultyResponse(request.socket, requestId);
                     return;
                 }
-                response.writeHead(200, { "request-id": requestId, "response-seal": `seal-${behaviour.id}`, "content-length": behaviour.bodyBytes });
-                response.end(createBody(requestId));
-            }, behaviour.workMs * rounds);
+                run.endedAt = getNow();
+                run.isAnswered = true;
+                const bodyBytes = Number(request.headers[bodyBytesHeader] ?? behaviour.bodyBytes);
+                response.writeHead(200, { "request-id": requestId, "response-seal": `seal-${behaviour.id}`, "content-length": bodyBytes });
+                response.end(createBody(requestId, bodyBytes));
+            }, behaviour.workMs * rounds + Number(request.headers[extraWorkHeader] ?? 0));
             response.once("close", () => {
                 if (!response.writableFinished && behaviour.spoilPart === 0) {
                     counts.cancelled += 1;
@@ -170,6 +194,6 @@
         });
     });
     const port = await control.startListening(server);
-    const controlPort = await control.startControlServer({ getState: () => ({ runs, deadlines, counts, busy, openConnections, arrivalTimes }), setBehaviour: change => void Object.assign(behaviour, change) });
+    const controlPort = await control.startControlServer({ getState: () => ({ runs, runTimes, deadlines, counts, busy, openConnections, arrivalTimes }), setBehaviour: change => void Object.assign(behaviour, change) });
     return { port, controlPort };
 }
