--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -13,7 +13,7 @@
         count: { type: "string", default: "1" },
         instances: { type: "string", default: "5" },
         workers: { type: "string", default: "10" },
-        callers: { type: "string", default: "24" },
+        callers: { type: "string", default: "48" },
         /** Kinds of fault, separated by commas; all kinds if empty. */
         kinds: { type: "string", default: "" },
         logs: { type: "string", default: "soak-logs" },
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -42,7 +42,7 @@
 
 /** Starts the system, runs the load and the fault plan, and returns the violations. */
 export async function runSoak(options: RunSoakOptions): Promise<SoakResult> {
-    const { seed, lengthMs, kinds, instances = 5, workers = 10, callers: callerCount = 24 } = options;
+    const { seed, lengthMs, kinds, instances = 5, workers = 10, callers: callerCount = 48 } = options;
     const faults = plan.createPlan({ seed, lengthMs, kinds });
     const checker = new invariants.InvariantChecker();
     const system = await systemUnderTest.startSystem({ instances, workers });
