--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -120,11 +120,11 @@
         const { clock: systemClock, loop: timers, logger: log, settings: serveSettings } = this.context;
         const startedAt = systemClock.getNow();
         const current = shutdown.computeShutdown({ settings: serveSettings, requestedAt: this.stalls.getEarliestArrivalAt(), startedAt });
-        const timeoutMs = current.endsAt - startedAt;
+        const timeoutMs = Math.round(current.endsAt - startedAt);
         this.state = "draining";
         const killAfterMs = serveSettings.killAfterS === 0 ? undefined : Math.round(serveSettings.killAfterS * millisecondsPerSecond);
         log.writeInfo("instance-draining", "graceful shutdown started", {
-            timeoutMs: Math.round(timeoutMs),
+            timeoutMs,
             killAfterMs,
             delayMs: Math.round(startedAt - current.requestedAt),
             stalledMs: Math.round(this.stalls.getStallMs()),
