--- a/src/kernel/httpConnections.ts
+++ b/src/kernel/httpConnections.ts
@@ -5,8 +5,8 @@
 
 /** How often `waitUntilWritten` checks for open responses, in milliseconds. */
 const pollIntervalMs = 5;
-/** The number of connections that wait at most to be accepted; the default of Node.js. */
-const listenBacklog = 511;
+/** How long `waitUntilRead` accepts further connections, in milliseconds; bounds it while new ones keep coming. */
+const acceptTimeoutMs = 100;
 
 interface Connection {
     readonly responses: Set<http.ServerResponse>;
@@ -58,14 +58,13 @@
      */
     async waitUntilRead(): Promise<void> {
         // Each poll accepts one connection, and a later one reads its request.
+        const until = performance.now() + acceptTimeoutMs;
         let acceptedBefore: number;
-        let polls = 0;
         do {
             acceptedBefore = this.acceptedCount;
             await waitForPoll();
-            polls += 1;
         }
-        while (this.acceptedCount > acceptedBefore && polls < listenBacklog);
+        while (this.acceptedCount > acceptedBefore && performance.now() < until);
         await waitForPoll();
     }
 
