Hold requests that wait to the rule for late ones, and refuse them before the end

Callers saw: orders that a stopping instance had taken were cut at its end although no upstream was at work on them, or were sent late by an estimate and cut. Cause: the wait for the budget ended at the request's deadline alone; the rule for late requests was applied on arrival, and to waiting ones in a weaker form; and its time was not bounded by the end of the shutdown. Change: one rule on arrival, before the first send and while waiting to be sent again; estimates count in the first half of a shutdown at most. Left, by reading: orders that wait for a claim of their key, or for the instance that owns it, are not refused before the end.

--- a/src/callers/callerRequestHandler.ts
+++ b/src/callers/callerRequestHandler.ts
@@ -149,7 +149,7 @@
             await this.rejectRetiredFeature(request, response, orderKeyText, routedRequest);
             return;
         }
-        if (!executor.isTaken(routedRequest)) {
+        if (!executor.isAdmitted(routedRequest)) {
             await this.rejectRequest(request, response, orderKeyText, { ...errors.createError("draining", "the instance stops before the request can be expected to end"), retryAfterMs: 0 });
             return;
         }
--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -19,8 +19,8 @@
 const drainPollIntervalMs = 20;
 /** How long before the end of a shutdown queued requests are refused, so that their responses are still sent. */
 const queueRejectionLeadMs = 100;
-/** The longest delay with which a busy process handles the signal that stops it and that it does not notice, in milliseconds. */
-const unseenDelayMs = 500;
+/** How long before the port closes estimates of latencies no longer count, since a busy process may handle the signal that stops it later than it can tell. */
+const estimatesLeadMs = 500;
 /** How often Node.js checks connections against the header timeout, in milliseconds. */
 const connectionCheckIntervalMs = 500;
 
@@ -108,7 +108,8 @@
         mesh.setMember({ state: "draining" });
         this.isDraining = true;
         this.drainLog.start(shutdown);
-        executor.setShutdownTimes({ endsAt, estimatesEndAt: entriesExpireAt - unseenDelayMs });
+        // Where the port stays open to the end, half of the shutdown is left for requests that take longer than estimated.
+        executor.setShutdownTimes({ endsAt, estimatesEndAt: Math.min(entriesExpireAt - estimatesLeadMs, (startedAt + endsAt) / 2) });
         // Callers would send further requests on connections whose response began before the shutdown.
         this.connections.listOpenResponses().filter(response => !response.headersSent).forEach(response => response.setHeader("connection", "close"));
         await this.wait(Math.max(0, portClosesAt - clock.getNow()));
--- a/src/requests/drainAdmission.ts
+++ b/src/requests/drainAdmission.ts
@@ -8,8 +8,8 @@
     /** When the shutdown ends and what is in flight is cut. */
     readonly endsAt: number;
     /**
-     * Until when a request is taken because its route is usually quick enough. An estimate is wrong at times. Callers that
-     * come later have other entry points by then, so that only requests are taken whose own deadline is in time.
+     * Until when a request is admitted because its route is usually quick enough. An estimate is wrong at times. Callers that
+     * come later have other entry points by then, so that only requests are admitted whose own deadline is in time.
      */
     readonly estimatesEndAt: number;
 }
@@ -22,13 +22,8 @@
     readonly usualLatencyMs: number | undefined;
 }
 
-/** Returns whether a stopping instance takes a request that has arrived. */
-export function isTaken(request: RequestTimes, shutdown: ShutdownTimes): boolean {
-    return request.now < shutdown.estimatesEndAt ? isSendable(request, shutdown) : request.deadlineAt <= shutdown.endsAt;
-}
-
-/** Returns whether a stopping instance sends a request that it took, which may have waited since. Without samples, only its deadline counts. */
-export function isSendable({ now, deadlineAt, usualLatencyMs }: RequestTimes, { endsAt }: ShutdownTimes): boolean {
-    const expectedEnd = usualLatencyMs === undefined ? deadlineAt : Math.min(deadlineAt, now + usualLatencyMs * expectedMultiple);
-    return expectedEnd <= endsAt;
+/** Returns whether a stopping instance may take a request, or send one that has waited. Without samples, only its deadline counts. */
+export function isAdmitted({ now, deadlineAt, usualLatencyMs }: RequestTimes, { endsAt, estimatesEndAt }: ShutdownTimes): boolean {
+    const usualEnd = usualLatencyMs === undefined || now >= estimatesEndAt ? deadlineAt : now + usualLatencyMs * expectedMultiple;
+    return Math.min(deadlineAt, usualEnd) <= endsAt;
 }
--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -98,9 +98,11 @@
         this.shutdownTimes = times;
     }
 
-    /** Returns whether a request that has arrived can be expected to end before the shutdown does, if one has begun. */
-    isTaken(request: Pick<types.RoutedRequest, "route" | "deadlineAt">): boolean {
-        return this.shutdownTimes === undefined || drainAdmission.isTaken(this.getRequestTimes(request), this.shutdownTimes);
+    /** Returns whether a request that has not been sent can be expected to end before the shutdown does, if one has begun. */
+    isAdmitted({ route, deadlineAt }: Pick<types.RoutedRequest, "route" | "deadlineAt">): boolean {
+        const { shutdownTimes, context: { clock } } = this;
+        return shutdownTimes === undefined
+            || drainAdmission.isAdmitted({ now: clock.getNow(), deadlineAt, usualLatencyMs: this.latencies.getQuantile(route.service, route.name, usualLatencyQuantile) }, shutdownTimes);
     }
 
     /** The clock, event loop, settings, logger and other objects of the process. */
@@ -128,8 +130,8 @@
     }
 
     /**
-     * Waits until a request may be sent again after an attempt that did not run. Returns false if the caller disconnects
-     * or if the budget allows no retry in time.
+     * Waits until a request may be sent again after an attempt that did not run. Returns false if the caller disconnects,
+     * if the budget allows no retry in time, or if a shutdown leaves too little time.
      * @param request - The request.
      * @param kind - Why the attempt did not run. An unreachable upstream never received the request, so the next attempt
      * takes no retry from the budget.
@@ -142,7 +144,7 @@
         const budget = this.getRetryBudget(route.service);
         const medianMs = this.latencies.getQuantile(route.service, route.name, 0.5) ?? 0;
         const requiredMs = Math.max(medianMs, attemptMs) + retryCheckIntervalMs;
-        while (!signal.aborted && deadlineAt - clock.getNow() >= requiredMs) {
+        while (!signal.aborted && this.isAdmitted(request) && deadlineAt - clock.getNow() >= requiredMs) {
             if (kind === "unreachable" || budget.acquireRetry()) {
                 return true;
             }
@@ -201,17 +203,13 @@
             getAbortError: () => errors.createError("callerGone"),
             getMedianLatencyMs: () => this.latencies.getQuantile(route.service, route.name, 0.5),
         });
-        if (slot.isOk() && !progress.mayHaveRun && this.shutdownTimes !== undefined && !drainAdmission.isSendable(this.getRequestTimes(request), this.shutdownTimes)) {
+        if (slot.isOk() && !progress.mayHaveRun && !this.isAdmitted(request)) {
             slot.value.release("cancelled");
             return err({ ...errors.createError("draining", "the instance stops before the request, which waited for a slot, can be expected to end"), retryAfterMs: 0 });
         }
         return slot;
     }
 
-    private getRequestTimes({ route, deadlineAt }: Pick<types.RoutedRequest, "route" | "deadlineAt">): drainAdmission.RequestTimes {
-        return { now: this.context.clock.getNow(), deadlineAt, usualLatencyMs: this.latencies.getQuantile(route.service, route.name, usualLatencyQuantile) };
-    }
-
     /**
      * Creates the `x-agatebend-` headers of a response; names and values alternate.
      * @param outcome - Whether the request has run.
--- a/test/requests/drainAdmission.test.ts
+++ b/test/requests/drainAdmission.test.ts
@@ -5,8 +5,8 @@
 
 const shutdown: drainAdmission.ShutdownTimes = { endsAt: 10_000, estimatesEndAt: 7_000 };
 
-void tap.test("a request that arrives during the shutdown", async t => {
-    const doTest = (name: string, request: drainAdmission.RequestTimes, expected: boolean) => t.equal(drainAdmission.isTaken(request, shutdown), expected, name);
+void tap.test("a request that arrives or is to be sent during the shutdown", async t => {
+    const doTest = (name: string, request: drainAdmission.RequestTimes, expected: boolean) => t.equal(drainAdmission.isAdmitted(request, shutdown), expected, name);
     doTest("its deadline is before the end", { now: 5_000, deadlineAt: 9_000, usualLatencyMs: 8_000 }, true);
     doTest("its deadline is beyond the end, but its route is quick", { now: 5_000, deadlineAt: 17_000, usualLatencyMs: 300 }, true);
     doTest("its route usually takes longer than is left", { now: 6_900, deadlineAt: 17_000, usualLatencyMs: 1_600 }, false);
@@ -14,10 +14,3 @@
     doTest("it comes late, and its route is quick, but its deadline is beyond the end", { now: 7_000, deadlineAt: 10_001, usualLatencyMs: 10 }, false);
     doTest("it comes late, and its deadline is before the end", { now: 7_000, deadlineAt: 10_000, usualLatencyMs: undefined }, true);
 });
-
-void tap.test("a request that was taken and has waited", async t => {
-    const doTest = (name: string, request: drainAdmission.RequestTimes, expected: boolean) => t.equal(drainAdmission.isSendable(request, shutdown), expected, name);
-    doTest("its route is quick enough for what is left", { now: 9_000, deadlineAt: 17_000, usualLatencyMs: 500 }, true);
-    doTest("its route usually takes longer than is left", { now: 9_000, deadlineAt: 17_000, usualLatencyMs: 501 }, false);
-    doTest("its deadline is before the end", { now: 9_500, deadlineAt: 9_900, usualLatencyMs: 501 }, true);
-});
