Read what has arrived before a connection's time-outs end it

Callers saw: after an instance had stood still, a request that had arrived meanwhile on an idle connection was reset, and one on a new connection got 408, as if nothing had come. Change: the keep-alive time-out closes a connection, and the head time-out answers 408, only if a poll for input brings no request.

--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -24,10 +24,12 @@
 /** How often Node.js checks connections against the header timeout, in milliseconds. */
 const connectionCheckIntervalMs = 500;
 
+/** The code of Node's error for a request whose head did not come in time. */
+const requestTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
 /** The response status by the code of the HTTP parser's error; the response to any other error has status 400. */
 const statusByParserErrorCode: Readonly<Record<string, string>> = {
     HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
-    ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+    [requestTimeoutCode]: "408 Request Timeout",
 };
 
 /** Options of the server for callers. */
@@ -67,7 +69,7 @@
         this.connections = new httpConnections.HttpConnections(this.server);
         this.drainLog = new drainLog.DrainLog(options);
         this.server.maxConnections = serveSettings.callerConnections;
-        this.server.on("clientError", (error, socket) => this.rejectClient(error, socket as net.Socket));
+        this.server.on("clientError", (error, socket) => void this.handleClientError(error, socket as net.Socket));
     }
 
     /**
@@ -148,12 +150,23 @@
         return new Promise(resolve => this.options.context.loop.scheduleOnce(delayMs, resolve));
     }
 
+    private async handleClientError(error: Error, socket: net.Socket): Promise<void> {
+        if (getErrorCode(error) === requestTimeoutCode) {
+            // After a stall, the time-out comes before a request that has arrived is read.
+            await this.connections.waitUntilRead();
+            if (this.connections.countOpenResponses(socket) > 0) {
+                return;
+            }
+        }
+        this.rejectClient(error, socket);
+    }
+
     /**
      * Answers an invalid HTTP request with an error and closes the connection. If a response is in progress on the
      * connection, only closes it, because the error's bytes would corrupt that response.
      */
     private rejectClient(error: Error, socket: net.Socket): void {
-        const code = "code" in error ? String(error.code) : "";
+        const code = getErrorCode(error);
         if (code === "ECONNRESET" || !socket.writable || this.connections.countOpenResponses(socket) > 0) {
             socket.destroy();
             return;
@@ -170,3 +183,7 @@
         socket.end(`${lines.join("\r\n")}\r\n\r\n${body}`);
     }
 }
+
+function getErrorCode(error: Error): string {
+    return "code" in error ? String(error.code) : "";
+}
--- a/src/kernel/httpConnections.ts
+++ b/src/kernel/httpConnections.ts
@@ -39,6 +39,7 @@
             this.acceptedCount += 1;
             this.addConnection(socket);
         });
+        server.on("timeout", (socket: net.Socket) => void this.closeTimedOut(socket));
         server.prependListener("request", (request: http.IncomingMessage, response: http.ServerResponse) => this.addResponse(request.socket, response));
     }
 
@@ -105,6 +106,15 @@
         }
     }
 
+    /** Closes a connection after its keep-alive time-out. After a stall, the time-out comes before its next request is read. */
+    private async closeTimedOut(socket: net.Socket): Promise<void> {
+        const bytesReadBefore = socket.bytesRead;
+        await waitForPoll();
+        if (socket.bytesRead === bytesReadBefore) {
+            socket.destroy();
+        }
+    }
+
     private addResponse(socket: net.Socket, response: http.ServerResponse): void {
         const connection = this.connections.get(socket) ?? this.addConnection(socket);
         connection.responses.add(response);
