Close a connection whose request was not read whole after its peer

What callers saw: a failed write (EPIPE, ECONNRESET) instead of a refusal while they still sent the request's body. Without the refusal, a caller cannot tell that its order was not executed.

Cause: the operating system resets a connection that is closed while bytes arrive and drops what the peer has not received. Node.js destroys a connection right after a response with Connection: close, also when the request's body has not been read; the answer to invalid HTTP ended only the writing side, and the next bytes of the request destroyed the connection.

Change: after a response to a request that is not complete, and after the answer to invalid HTTP, HttpConnections closes the writing side, discards what arrives and waits for the peer to close, for 5 s, 16 MiB and 1,000 connections at most, with one timer. These connections are not in flight, are left out of the counts of a stop and are destroyed at its end. The port's closing leaves them alone.

What the tracking costs for each connection was not measured.

Left out: kept connections are closed as before, at the port's closing, on the idle timeout and at the end of a stop. A request that crosses such a close has to stay unread, since callers may send it again only if the daemon closed the connection without having read it. An answer that such a caller has not received yet can still be lost to a reset.

--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -180,7 +180,8 @@
             `${requests.fleetHeaders.error}: badRequest`,
             "Connection: close",
         ];
-        socket.end(`${lines.join("\r\n")}\r\n\r\n${body}`);
+        socket.write(`${lines.join("\r\n")}\r\n\r\n${body}`);
+        this.connections.closeAfterPeer(socket);
     }
 }
 
--- a/src/kernel/httpConnections.ts
+++ b/src/kernel/httpConnections.ts
@@ -1,4 +1,4 @@
-/** Tracks the connections of an HTTP server, so that closing it cuts no response that is still being written. */
+/** Tracks the connections of an HTTP server, so that closing it cuts no response that is still being written or received. */
 
 import type * as http from "node:http";
 import * as net from "node:net";
@@ -7,9 +7,17 @@
 const pollIntervalMs = 5;
 /** How long `waitUntilRead` accepts further connections, in milliseconds; bounds it while new ones keep coming. */
 const acceptTimeoutMs = 100;
+/** How long a connection whose writing side was closed waits for its peer to close it, in milliseconds. */
+const lingerTimeoutMs = 5_000;
+/** How many bytes such a connection discards. */
+const lingerBytes = 16 * 1024 * 1024;
+/** How many such connections a server keeps; the oldest are closed first. */
+const maximumLingering = 1_000;
 
 interface Connection {
     readonly responses: Set<http.ServerResponse>;
+    /** The request of the response that was opened last, until that response closes. */
+    request: http.IncomingMessage | undefined;
     /** The bytes received when the last response was complete; undefined before. More bytes since then are the next request. */
     bytesReadWhenIdle: number | undefined;
 }
@@ -31,6 +39,9 @@
  */
 export class HttpConnections {
     private readonly connections = new Map<net.Socket, Connection>();
+    /** When each connection that waits for its peer is closed at the latest, in monotonic milliseconds; the oldest comes first. */
+    private readonly lingering = new Map<net.Socket, number>();
+    private lingerTimer: NodeJS.Timeout | undefined;
     private acceptedCount = 0;
 
     /** @param server - The server; create the tracker before it listens. */
@@ -40,7 +51,7 @@
             this.addConnection(socket);
         });
         server.on("timeout", (socket: net.Socket) => void this.closeTimedOut(socket));
-        server.prependListener("request", (request: http.IncomingMessage, response: http.ServerResponse) => this.addResponse(request.socket, response));
+        server.prependListener("request", (request: http.IncomingMessage, response: http.ServerResponse) => this.addResponse(request, response));
     }
 
     /** Returns the open responses. */
@@ -74,9 +85,9 @@
         net.Server.prototype.close.call(this.server);
     }
 
-    /** Counts the open connections by what is on them. */
+    /** Counts the open connections by what is on them, without those that wait for their peers to close them. */
     countConnections(): ConnectionCounts {
-        const open = [...this.connections].filter(([socket]) => !socket.destroyed);
+        const open = [...this.connections].filter(([socket]) => !socket.destroyed && !this.lingering.has(socket));
         const withoutRequest = open.filter(([, { responses }]) => responses.size === 0);
         const unfinished = withoutRequest.filter(([socket, { bytesReadWhenIdle = 0 }]) => socket.bytesRead !== bytesReadWhenIdle);
         return { withRequest: open.length - withoutRequest.length, withoutRequest: withoutRequest.length, withUnfinishedRequest: unfinished.length };
@@ -84,15 +95,42 @@
 
     /** Closes the connections on which every response has been written and no further request has begun, and returns their number. */
     closeIdle(): number {
-        const idle = [...this.connections].filter(([socket, { responses, bytesReadWhenIdle }]) => responses.size === 0 && socket.bytesRead === bytesReadWhenIdle).map(([socket]) => socket);
+        const idle = [...this.connections].filter(([socket, { responses, bytesReadWhenIdle }]) => responses.size === 0 && socket.bytesRead === bytesReadWhenIdle && !this.lingering.has(socket)).map(([socket]) => socket);
         idle.forEach(socket => socket.destroy());
         return idle.length;
     }
 
-    /** Closes the port and all connections. */
+    /**
+     * Closes the writing side of a connection whose request was not read whole, and the connection itself once its peer has
+     * closed it or a limit is reached. Until then, what arrives of the request is discarded.
+     * @remarks The operating system resets a connection that is closed while bytes arrive, and the peer may lose the
+     * response. Not for connections without an unfinished request: callers may repeat what a closed connection left unread.
+     */
+    closeAfterPeer(socket: net.Socket): void {
+        if (this.lingering.has(socket) || socket.destroyed) {
+            return;
+        }
+        socket.end();
+        socket.setTimeout(0);
+        // Without the listener of the HTTP parser, what arrives begins no request.
+        socket.removeAllListeners("data");
+        const bytesBefore = socket.bytesRead;
+        socket.on("data", () => {
+            if (socket.bytesRead - bytesBefore > lingerBytes) {
+                socket.destroy();
+            }
+        });
+        socket.once("end", () => net.Socket.prototype.destroySoon.call(socket));
+        socket.resume();
+        this.lingering.set(socket, performance.now() + lingerTimeoutMs);
+        this.closeLingering();
+    }
+
+    /** Closes the port and all connections at once. */
     closeAll(): void {
         this.stopListening();
         this.server.closeAllConnections();
+        this.lingering.forEach((_, socket) => socket.destroy());
     }
 
     /**
@@ -115,11 +153,16 @@
         }
     }
 
-    private addResponse(socket: net.Socket, response: http.ServerResponse): void {
+    private addResponse(request: http.IncomingMessage, response: http.ServerResponse): void {
+        const { socket } = request;
         const connection = this.connections.get(socket) ?? this.addConnection(socket);
         connection.responses.add(response);
+        connection.request = request;
         response.once("close", () => {
             connection.responses.delete(response);
+            if (connection.request === request) {
+                connection.request = undefined;
+            }
             if (connection.responses.size === 0) {
                 connection.bytesReadWhenIdle = socket.bytesRead;
             }
@@ -127,12 +170,49 @@
     }
 
     private addConnection(socket: net.Socket): Connection {
-        const connection: Connection = { responses: new Set(), bytesReadWhenIdle: undefined };
+        const connection: Connection = { responses: new Set(), request: undefined, bytesReadWhenIdle: undefined };
         this.connections.set(socket, connection);
+        // The HTTP server calls this after the last response of a connection.
+        socket.destroySoon = () => {
+            // With further responses open, this one belongs to an earlier request, which was read whole.
+            if (connection.request?.complete === false && connection.responses.size === 1) {
+                this.closeAfterPeer(socket);
+                return;
+            }
+            net.Socket.prototype.destroySoon.call(socket);
+        };
         // A pipelined response that was never begun has no close event of its own.
-        socket.once("close", () => this.connections.delete(socket));
+        socket.once("close", () => {
+            this.connections.delete(socket);
+            this.lingering.delete(socket);
+        });
         return connection;
     }
+
+    /** Closes the connections that have waited for their peers for too long, or are too many. */
+    private closeLingering(): void {
+        const now = performance.now();
+        for (const [socket, endsAt] of this.lingering) {
+            if (endsAt > now && this.lingering.size <= maximumLingering) {
+                break;
+            }
+            // The close event, which also removes the connection, comes later.
+            this.lingering.delete(socket);
+            socket.destroy();
+        }
+        this.scheduleLingerCheck();
+    }
+
+    private scheduleLingerCheck(): void {
+        const [firstEndsAt] = this.lingering.values();
+        if (this.lingerTimer !== undefined || firstEndsAt === undefined) {
+            return;
+        }
+        this.lingerTimer = setTimeout(() => {
+            this.lingerTimer = undefined;
+            this.closeLingering();
+        }, firstEndsAt - performance.now()).unref();
+    }
 }
 
 /** Waits until the event loop has polled for input. */
