Send the chunks of a configuration compressed between peers

Cause: the fleet is linked in cells, so of concepcion's twelve instances only the two relays read the store. Both have links of 10 Mbit/s. The ten others ask the first relay with the new version at the same moment, and each gets all chunk texts: ten copies need 3.3 s of that link. A request waits for 1 s; then all of them ask again from the start, and the late replies still fill the link. Updates of the directory wait behind them on the same links, so the others take the relays' news for old and read the store themselves, which is how they got the version in the end. Elsewhere the relays chillan-1 and talcahuano-2 have links of 200 Mbit/s, if machines are numbered as the site file lists them.

Ruled out: a read of an older revision, a watch that was lost (the relays had version 20 within 1.0 s of its sending), restarts (roll_term begins at 26.8 s), the reading of the routes itself (0.1 s).

Change: the reply with chunk texts is deflated, once for all peers that ask for the same chunks. The requester names that it reads it among the hashes, where earlier versions ignore it; they get texts as before.

--- /dev/null
+++ b/src/configuration/chunkTransfer.ts
@@ -0,0 +1,126 @@
+/** How chunk texts travel between peers: in replies of bounded size, compressed once for all peers that lack the same chunks. */
+
+import * as util from "node:util";
+import * as zlib from "node:zlib";
+import { err, ok, type Result } from "neverthrow";
+import * as z from "zod";
+import * as boundedJson from "../kernel/boundedJson.js";
+import * as errors from "../kernel/errors.js";
+
+/** Maximum length of the chunk texts in one reply; a single chunk may exceed it. */
+const maximumReplyCharacters = 1_000_000;
+/** The largest reply that is decompressed, in bytes. */
+const maximumReplyBytes = 67_108_864;
+/** Number of replies that are kept for other peers. */
+const maximumKeptReplies = 64;
+/** Stands among the requested hashes if the sender reads compressed replies. Earlier versions skip it, as they do any hash that they do not hold. */
+const compressionMarker = "accept-deflate";
+
+const deflate = util.promisify(zlib.deflate);
+const inflate = util.promisify(zlib.inflate);
+
+const requestSchema = z.strictObject({ hashes: z.array(z.string()).max(10_000) });
+const textsSchema = z.array(z.string());
+const replySchema = z.union([z.strictObject({ texts: textsSchema }), z.strictObject({ deflated: z.custom<Uint8Array>(value => value instanceof Uint8Array) })]);
+
+/** A request for chunk texts. */
+export type ChunkRequest = z.infer<typeof requestSchema>;
+
+/** The reply to a request for chunk texts. */
+export type ChunkReply = z.infer<typeof replySchema>;
+
+/**
+ * Creates a request for chunk texts.
+ * @param hashes - The hashes of the texts. A reply may contain some of them only.
+ */
+export function createRequest(hashes: readonly string[]): ChunkRequest {
+    return { hashes: [compressionMarker, ...hashes] };
+}
+
+/** Returns the chunk texts of a peer's reply; a `peerUnreachable` error if it can't be read. */
+export async function parseReply(body: unknown): Promise<Result<readonly string[], errors.FleetError>> {
+    const { data } = replySchema.safeParse(body);
+    if (data === undefined) {
+        return err(createMalformedError("its fields"));
+    }
+    if ("texts" in data) {
+        return ok(data.texts);
+    }
+    try {
+        const json = await inflate(data.deflated, { maxOutputLength: maximumReplyBytes });
+        const texts = textsSchema.safeParse(boundedJson.parseJson(json.toString("utf8")).unwrapOr(undefined)).data;
+        return texts === undefined ? err(createMalformedError("its texts")) : ok(texts);
+    }
+    catch (thrown) {
+        return err(createMalformedError(errors.getErrorMessage(thrown)));
+    }
+}
+
+/** Answers requests for chunk texts. */
+export class ChunkReplies {
+    /** Compressed replies by the hashes of their texts. */
+    private readonly kept = new Map<string, Promise<Uint8Array>>();
+
+    /** @param getTexts - Returns the texts by hash. */
+    constructor(private readonly getTexts: () => ReadonlyMap<string, string>) {}
+
+    /** Returns the reply to a peer's request; a `peerUnreachable` error if the request is malformed. */
+    async createReply(body: unknown): Promise<Result<ChunkReply, errors.FleetError>> {
+        const { data } = requestSchema.safeParse(body);
+        if (data === undefined) {
+            return err(createMalformedError("a request"));
+        }
+        const hashes = this.chooseHashes(data.hashes);
+        if (!data.hashes.includes(compressionMarker)) {
+            return ok({ texts: this.listTexts(hashes) });
+        }
+        return ok({ deflated: await this.getDeflated(hashes) });
+    }
+
+    /** Drops the replies that are kept, because other chunks are requested from now on. */
+    removeKept(): void {
+        this.kept.clear();
+    }
+
+    private chooseHashes(requested: readonly string[]): readonly string[] {
+        const texts = this.getTexts();
+        const chosen: string[] = [];
+        let characters = 0;
+        for (const hash of requested) {
+            const text = texts.get(hash);
+            if (text === undefined) {
+                continue;
+            }
+            characters += text.length;
+            if (characters > maximumReplyCharacters && chosen.length > 0) {
+                break;
+            }
+            chosen.push(hash);
+        }
+        return chosen;
+    }
+
+    private listTexts(hashes: readonly string[]): string[] {
+        const texts = this.getTexts();
+        return hashes.map(hash => texts.get(hash)!);
+    }
+
+    private getDeflated(hashes: readonly string[]): Promise<Uint8Array> {
+        const key = hashes.join(" ");
+        const known = this.kept.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        const [oldest] = this.kept.keys();
+        if (oldest !== undefined && this.kept.size >= maximumKeptReplies) {
+            this.kept.delete(oldest);
+        }
+        const deflated = deflate(JSON.stringify(this.listTexts(hashes)));
+        this.kept.set(key, deflated);
+        return deflated;
+    }
+}
+
+function createMalformedError(part: string): errors.FleetError {
+    return errors.createError("peerUnreachable", `a configuration message from a peer is malformed: ${part}`);
+}
--- a/src/configuration/peerSync.ts
+++ b/src/configuration/peerSync.ts
@@ -1,11 +1,12 @@
 /** Synchronizes the configuration between peers: an instance with an older version fetches the head and the chunks that it lacks. */
 
 import { err, ok, type Result } from "neverthrow";
-import * as z from "zod";
+import type * as z from "zod";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import type * as peers from "../peers/index.js";
 import * as chunks from "./chunks.js";
+import * as chunkTransfer from "./chunkTransfer.js";
 import type * as configurationState from "./configurationState.js";
 
 /** Milliseconds between two checks for a peer with a newer configuration version. */
@@ -16,14 +17,9 @@
  * the version from a peer.
  */
 const publishDelayMs = 400;
-/** Maximum length of the chunk texts in one reply; a single chunk may exceed it. */
-const maximumReplyCharacters = 1_000_000;
 const headTopic = "configuration.head";
 const chunksTopic = "configuration.chunks";
 
-const chunksRequestSchema = z.strictObject({ hashes: z.array(z.string()).max(10_000) });
-const chunksReplySchema = z.strictObject({ texts: z.array(z.string()) });
-
 /** Options of the synchronization with peers. */
 export interface CreatePeerSyncOptions {
     readonly context: context.Context;
@@ -43,9 +39,13 @@
             const current = state.getCurrent();
             return current === undefined ? err(errors.createError("notConfigured")) : ok(current.head);
         });
-        mesh.setHandler(chunksTopic, async body => this.answerChunksRequest(body));
+        const replies = new chunkTransfer.ChunkReplies(() => state.getChunkTexts());
+        mesh.setHandler(chunksTopic, body => replies.createReply(body));
         mesh.addListener("member", () => this.runCheck());
-        state.addListener(() => this.schedulePublication());
+        state.addListener(() => {
+            replies.removeKept();
+            this.schedulePublication();
+        });
     }
 
     /** Starts the periodic checks for newer versions. */
@@ -103,12 +103,15 @@
         const received = new Map<string, string>();
         let missing = state.listMissingChunks(head.value);
         while (missing.length > 0) {
-            const chunksReply = await mesh.sendRequest(peerId, chunksTopic, { hashes: missing });
-            const chunkTexts = chunksReply.andThen(body => parseMessage(chunksReplySchema, body));
+            const chunksReply = await mesh.sendRequest(peerId, chunksTopic, chunkTransfer.createRequest(missing));
+            if (chunksReply.isErr()) {
+                return err(chunksReply.error);
+            }
+            const chunkTexts = await chunkTransfer.parseReply(chunksReply.value);
             if (chunkTexts.isErr()) {
                 return err(chunkTexts.error);
             }
-            chunkTexts.value.texts.forEach(text => received.set(chunks.computeHash(text), text));
+            chunkTexts.value.forEach(text => received.set(chunks.computeHash(text), text));
             const remaining = missing.filter(hash => !received.has(hash));
             if (remaining.length === missing.length) {
                 return err(errors.createError("peerUnreachable", `${peerId} no longer holds the chunks of version ${head.value.version}`));
@@ -121,25 +124,6 @@
         }
         return applied;
     }
-
-    private answerChunksRequest(body: unknown): Result<unknown, errors.FleetError> {
-        return parseMessage(chunksRequestSchema, body).map(({ hashes }) => {
-            const texts: string[] = [];
-            let characters = 0;
-            for (const hash of hashes) {
-                const text = this.options.state.getChunkTexts().get(hash);
-                if (text === undefined) {
-                    continue;
-                }
-                characters += text.length;
-                if (characters > maximumReplyCharacters && texts.length > 0) {
-                    break;
-                }
-                texts.push(text);
-            }
-            return { texts };
-        });
-    }
 }
 
 function parseMessage<T>(schema: z.ZodType<T>, body: unknown): Result<T, errors.FleetError> {
--- /dev/null
+++ b/test/configuration/peerSync.relayLink.test.ts
@@ -0,0 +1,120 @@
+/**
+ * Guards against instances of a cell that stay on an old version after the configuration has grown by many routes: all of
+ * them fetch it from one relay at the same moment, and its copies fill the relay's link for longer than a request may wait.
+ */
+
+import * as crypto from "node:crypto";
+import { err, type Result } from "neverthrow";
+import tap from "tap";
+import * as checkDocument from "../../src/configuration/checkDocument.js";
+import * as chunks from "../../src/configuration/chunks.js";
+import * as configurationState from "../../src/configuration/configurationState.js";
+import * as peerSync from "../../src/configuration/peerSync.js";
+import * as errors from "../../src/kernel/errors.js";
+import * as wire from "../../src/peers/wire.js";
+
+const routeCount = 1_400;
+const followerCount = 10;
+/** The slowest links of the users' machines, 10 Mbit/s. */
+const linkBytesPerSecond = 1_250_000;
+/** The bound of the users' platform within which a version is in force; the relay's own read and its link's other traffic need half of it. */
+const applyWithinSeconds = 2.5 / 2;
+const relayId = "relay";
+
+type Handler = (body: unknown, peerId: string) => Promise<Result<unknown, errors.FleetError>>;
+
+interface Network {
+    /** Sends a follower's request to the relay and returns the body of its reply. */
+    readonly sendRequest: (topic: string, body: unknown) => Promise<Result<unknown, errors.FleetError>>;
+    /** The sizes of the relay's replies in bytes, in the order of their sending. */
+    readonly replyBytes: number[];
+}
+
+function createDocument() {
+    const routes = Array.from({ length: routeCount }, (_, index) => {
+        const identifier = crypto.createHash("sha1").update(`route ${index}`).digest("hex").slice(0, 10);
+        return {
+            name: `r-${identifier}`,
+            service: "desk",
+            hosts: ["desk.example"],
+            rank: "usual",
+            methods: ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"],
+            pathPrefix: `/${identifier}/`,
+            repeatable: true,
+            orderKey: "optional",
+            deadlineMs: 30_000,
+            timeoutMs: 4_000,
+            targetLatencyMs: 1_000,
+        };
+    });
+    return checkDocument.checkDocument({ ranks: [{ name: "usual", guaranteedShare: 0.5 }], services: { desk: { slots: 3, connections: 1_000, floor: 0 } }, routes })._unsafeUnwrap();
+}
+
+function createOptions(state: configurationState.ConfigurationState, mesh: Record<string, unknown>, scheduleRepeatedly: (delayMs: number, task: () => void) => void): peerSync.CreatePeerSyncOptions {
+    const context = { settings: { configurationKey: "op/config" }, loop: { scheduleRepeatedly, scheduleOnce: () => {} }, randomness: { getFraction: () => 0 }, logger: { writeInfo: () => {}, writeWarning: () => {} } };
+    return { context, state, mesh: { isCellRelay: () => true, addListener: () => {}, setMember: () => {}, setHandler: () => {}, ...mesh } } as unknown as peerSync.CreatePeerSyncOptions;
+}
+
+/** Starts a relay on which a version with many routes is active. */
+function startRelay(): Network {
+    const handlers = new Map<string, Handler>();
+    const state = new configurationState.ConfigurationState();
+    const relay = new peerSync.PeerSync(createOptions(state, { setHandler: (topic: string, handler: Handler) => handlers.set(topic, handler) }, () => {}));
+    relay.start();
+    const texts = chunks.createChunks(createDocument());
+    const head = { version: 20, changeId: "growth", chunks: Object.fromEntries(texts.map(({ name, hash }) => [name, hash])), recent: [] };
+    state.applyVersion(head, new Map(texts.map(({ hash, text }) => [hash, text])))._unsafeUnwrap();
+    const replyBytes: number[] = [];
+    return {
+        replyBytes,
+        sendRequest: async (topic, body) => {
+            const reply = await handlers.get(topic)!(body, "follower");
+            if (reply.isErr()) {
+                return err(reply.error);
+            }
+            const frame = wire.encodeFrame({ type: "reply", id: 1, body: reply.value });
+            replyBytes.push(frame.length);
+            return wire.decodeMessage(frame.subarray(wire.lengthPrefixBytes)).map(message => message.type === "reply" ? message.body : undefined);
+        },
+    };
+}
+
+/** Starts an instance without a configuration; `runCheck` makes it look for a newer version, and resolves once it has been applied or the attempt has failed. */
+function startFollower(sendRequest: Network["sendRequest"]) {
+    const state = new configurationState.ConfigurationState();
+    const checks: (() => void)[] = [];
+    let pending: Promise<unknown> = Promise.resolve();
+    const created = new peerSync.PeerSync(createOptions(state, {
+        listLinkedPeers: () => [relayId],
+        listMembers: () => [{ instanceId: relayId, configurationVersion: 20 }],
+        sendRequest: (_peerId: string, topic: string, body: unknown) => {
+            const reply = sendRequest(topic, body);
+            pending = reply;
+            return reply;
+        },
+    }, (_delayMs, task) => checks.push(task)));
+    created.start();
+    return {
+        state,
+        runCheck: async () => {
+            checks.forEach(check => check());
+            let last: Promise<unknown> | undefined;
+            while (last !== pending) {
+                last = pending;
+                await last;
+                await new Promise(resolve => setTimeout(resolve, 20));
+            }
+        },
+    };
+}
+
+void tap.test("ten instances fetch a version with many routes from one relay: its link carries the copies in time", async t => {
+    const network = startRelay();
+    for (let index = 0; index < followerCount; index += 1) {
+        const follower = startFollower(network.sendRequest);
+        await follower.runCheck();
+        t.equal(follower.state.getCurrent()?.document.routes.length, routeCount);
+    }
+    const sentBytes = network.replyBytes.reduce((sum, bytes) => sum + bytes, 0);
+    t.ok(sentBytes / linkBytesPerSecond < applyWithinSeconds, `the copies take ${(sentBytes / linkBytesPerSecond).toFixed(2)} s of the link; ${applyWithinSeconds} s are allowed`);
+});
