Keep the chunks that arrived when a later reply from a peer is lost

Cause: a reply held up to 1,000,000 characters, more than a link of 10 Mbit/s carries to ten instances in the 1 s that a request waits; and an attempt that failed dropped all that it had received, so that each attempt asked for everything again.

Evidence: two tests in test/configuration/peerSync.relayLink.test.ts.

Change: replies of 100,000 characters at most; texts stay, by hash, until a version has been applied, and those that the next head doesn't name are dropped; an attempt ends once a version as recent is active.

--- a/src/configuration/chunkTransfer.ts
+++ b/src/configuration/chunkTransfer.ts
@@ -7,8 +7,11 @@
 import * as boundedJson from "../kernel/boundedJson.js";
 import * as errors from "../kernel/errors.js";
 
-/** Maximum length of the chunk texts in one reply; a single chunk may exceed it. */
-const maximumReplyCharacters = 1_000_000;
+/**
+ * Maximum length of the chunk texts in one reply; a single chunk may exceed it. A link of 10 Mbit/s carries ten such
+ * replies within the default of `--peer-timeout-ms`, even if they are not compressed.
+ */
+const maximumReplyCharacters = 100_000;
 /** The largest reply that is decompressed, in bytes. */
 const maximumReplyBytes = 67_108_864;
 /** Number of replies that are kept for other peers. */
--- a/src/configuration/peerSync.ts
+++ b/src/configuration/peerSync.ts
@@ -32,6 +32,8 @@
     private isFetching = false;
     private publishedVersion = 0;
     private isPublicationScheduled = false;
+    /** Chunk texts by hash of a version that has not been received whole. They stay when a reply is lost. */
+    private readonly receivedTexts = new Map<string, string>();
 
     constructor(private readonly options: CreatePeerSyncOptions) {
         const { mesh, state } = options;
@@ -100,29 +102,39 @@
         if (head.isErr()) {
             return err(head.error);
         }
-        const received = new Map<string, string>();
-        let missing = state.listMissingChunks(head.value);
-        while (missing.length > 0) {
-            const chunksReply = await mesh.sendRequest(peerId, chunksTopic, chunkTransfer.createRequest(missing));
-            if (chunksReply.isErr()) {
-                return err(chunksReply.error);
+        const fetched = await this.readMissingChunks(peerId, head.value);
+        if (fetched.isErr()) {
+            return err(fetched.error);
+        }
+        const applied = state.applyVersion(head.value, this.receivedTexts);
+        this.receivedTexts.clear();
+        if (applied.isOk() && applied.value) {
+            context.logger.writeInfo("configuration-in-force", `version ${head.value.version} is active`, { version: head.value.version, changeId: head.value.changeId, source: peerId });
+        }
+        return applied;
+    }
+
+    /** Reads the chunks of a version that this instance lacks, and ends early if a version as recent becomes active meanwhile. */
+    private async readMissingChunks(peerId: string, head: chunks.ConfigurationHead): Promise<Result<void, errors.FleetError>> {
+        const { mesh, state } = this.options;
+        const needed = new Set(Object.values(head.chunks));
+        [...this.receivedTexts.keys()].filter(hash => !needed.has(hash)).forEach(hash => this.receivedTexts.delete(hash));
+        while (state.getVersion() < head.version) {
+            const missing = state.listMissingChunks(head).filter(hash => !this.receivedTexts.has(hash));
+            if (missing.length === 0) {
+                break;
             }
-            const chunkTexts = await chunkTransfer.parseReply(chunksReply.value);
+            const reply = await mesh.sendRequest(peerId, chunksTopic, chunkTransfer.createRequest(missing));
+            const chunkTexts = reply.isErr() ? err(reply.error) : await chunkTransfer.parseReply(reply.value);
             if (chunkTexts.isErr()) {
                 return err(chunkTexts.error);
             }
-            chunkTexts.value.forEach(text => received.set(chunks.computeHash(text), text));
-            const remaining = missing.filter(hash => !received.has(hash));
-            if (remaining.length === missing.length) {
-                return err(errors.createError("peerUnreachable", `${peerId} no longer holds the chunks of version ${head.value.version}`));
+            chunkTexts.value.map(text => [chunks.computeHash(text), text] as const).filter(([hash]) => needed.has(hash)).forEach(([hash, text]) => this.receivedTexts.set(hash, text));
+            if (missing.every(hash => !this.receivedTexts.has(hash))) {
+                return err(errors.createError("peerUnreachable", `${peerId} no longer holds the chunks of version ${head.version}`));
             }
-            missing = remaining;
         }
-        const applied = state.applyVersion(head.value, received);
-        if (applied.isOk() && applied.value) {
-            context.logger.writeInfo("configuration-in-force", `version ${head.value.version} is active`, { version: head.value.version, changeId: head.value.changeId, source: peerId });
-        }
-        return applied;
+        return ok(undefined);
     }
 }
 
--- a/test/configuration/peerSync.relayLink.test.ts
+++ b/test/configuration/peerSync.relayLink.test.ts
@@ -12,6 +12,7 @@
 import * as peerSync from "../../src/configuration/peerSync.js";
 import * as errors from "../../src/kernel/errors.js";
 import * as wire from "../../src/peers/wire.js";
+import * as settings from "../../src/settings/index.js";
 
 const routeCount = 1_400;
 const followerCount = 10;
@@ -20,6 +21,7 @@
 /** The bound of the users' platform within which a version is in force; the relay's own read and its link's other traffic need half of it. */
 const applyWithinSeconds = 2.5 / 2;
 const relayId = "relay";
+const headTopic = "configuration.head";
 
 type Handler = (body: unknown, peerId: string) => Promise<Result<unknown, errors.FleetError>>;
 
@@ -118,3 +120,34 @@
     const sentBytes = network.replyBytes.reduce((sum, bytes) => sum + bytes, 0);
     t.ok(sentBytes / linkBytesPerSecond < applyWithinSeconds, `the copies take ${(sentBytes / linkBytesPerSecond).toFixed(2)} s of the link; ${applyWithinSeconds} s are allowed`);
 });
+
+void tap.test("replies that are lost while a version is fetched: what has been received is not fetched again", async t => {
+    const network = startRelay();
+    let chunkReplies = 0;
+    // Of an attempt's replies, the head and the first one with chunks arrive in time.
+    const follower = startFollower(async (topic, body) => {
+        if (topic === headTopic) {
+            chunkReplies = 0;
+            return network.sendRequest(topic, body);
+        }
+        chunkReplies += 1;
+        return chunkReplies > 1 ? err(errors.createError("peerUnreachable")) : network.sendRequest(topic, body);
+    });
+    const maximumAttempts = 50;
+    let attempts = 0;
+    while (follower.state.getVersion() === 0 && attempts < maximumAttempts) {
+        attempts += 1;
+        await follower.runCheck();
+    }
+    t.equal(follower.state.getVersion(), 20, `active after ${attempts} attempts`);
+    t.ok(attempts > 1, "the version does not fit into one reply");
+});
+
+void tap.test("ten instances wait for a reply at the same time: the slowest link carries ten of them before they time out, though an earlier version does not read compressed ones", async t => {
+    const network = startRelay();
+    const timeoutSeconds = settings.serveSettingsSchema.parse({}).peerTimeoutMs / 1_000;
+    const head = (await network.sendRequest(headTopic, {}))._unsafeUnwrap() as chunks.ConfigurationHead;
+    await network.sendRequest("configuration.chunks", { hashes: Object.values(head.chunks) });
+    const largest = Math.max(...network.replyBytes);
+    t.ok(largest * followerCount / linkBytesPerSecond < timeoutSeconds, `a reply of ${largest} bytes`);
+});
