--- a/src/configuration/chunkTransfer.ts
+++ b/src/configuration/chunkTransfer.ts
@@ -1,30 +1,23 @@
 /** How chunk texts travel between peers: in replies of bounded size, compressed once for all peers that lack the same chunks. */
 
-import * as util from "node:util";
-import * as zlib from "node:zlib";
 import { err, ok, type Result } from "neverthrow";
 import * as z from "zod";
-import * as boundedJson from "../kernel/boundedJson.js";
 import * as errors from "../kernel/errors.js";
+import * as peers from "../peers/index.js";
 
 /**
  * Maximum length of the chunk texts in one reply; a single chunk may exceed it. A link of 10 Mbit/s carries ten such
  * replies within the default of `--peer-timeout-ms`, even if they are not compressed.
  */
 const maximumReplyCharacters = 100_000;
-/** The largest reply that is decompressed, in bytes. */
-const maximumReplyBytes = 67_108_864;
 /** Number of replies that are kept for other peers. */
 const maximumKeptReplies = 64;
 /** Stands among the requested hashes if the sender reads compressed replies. Earlier versions skip it, as they do any hash that they do not hold. */
 const compressionMarker = "accept-deflate";
 
-const deflate = util.promisify(zlib.deflate);
-const inflate = util.promisify(zlib.inflate);
-
 const requestSchema = z.strictObject({ hashes: z.array(z.string()).max(10_000) });
 const textsSchema = z.array(z.string());
-const replySchema = z.union([z.strictObject({ texts: textsSchema }), z.strictObject({ deflated: z.custom<Uint8Array>(value => value instanceof Uint8Array) })]);
+const replySchema = z.union([z.strictObject({ texts: textsSchema }), z.strictObject({ deflated: peers.deflatedSchema })]);
 
 /** A request for chunk texts. */
 export type ChunkRequest = z.infer<typeof requestSchema>;
@@ -41,7 +34,7 @@
 }
 
 /** Returns the chunk texts of a peer's reply; a `peerUnreachable` error if it can't be read. */
-export async function parseReply(body: unknown): Promise<Result<readonly string[], errors.FleetError>> {
+export function parseReply(body: unknown): Result<readonly string[], errors.FleetError> {
     const { data } = replySchema.safeParse(body);
     if (data === undefined) {
         return err(createMalformedError("its fields"));
@@ -49,26 +42,22 @@
     if ("texts" in data) {
         return ok(data.texts);
     }
-    try {
-        const json = await inflate(data.deflated, { maxOutputLength: maximumReplyBytes });
-        const texts = textsSchema.safeParse(boundedJson.parseJson(json.toString("utf8")).unwrapOr(undefined)).data;
+    return peers.parseDeflated(data.deflated).andThen(value => {
+        const texts = textsSchema.safeParse(value).data;
         return texts === undefined ? err(createMalformedError("its texts")) : ok(texts);
-    }
-    catch (thrown) {
-        return err(createMalformedError(errors.getErrorMessage(thrown)));
-    }
+    });
 }
 
 /** Answers requests for chunk texts. */
 export class ChunkReplies {
     /** Compressed replies by the hashes of their texts. */
-    private readonly kept = new Map<string, Promise<Uint8Array>>();
+    private readonly kept = new Map<string, Uint8Array>();
 
     /** @param getTexts - Returns the texts by hash. */
     constructor(private readonly getTexts: () => ReadonlyMap<string, string>) {}
 
     /** Returns the reply to a peer's request; a `peerUnreachable` error if the request is malformed. */
-    async createReply(body: unknown): Promise<Result<ChunkReply, errors.FleetError>> {
+    createReply(body: unknown): Result<ChunkReply, errors.FleetError> {
         const { data } = requestSchema.safeParse(body);
         if (data === undefined) {
             return err(createMalformedError("a request"));
@@ -77,7 +66,7 @@
         if (!data.hashes.includes(compressionMarker)) {
             return ok({ texts: this.listTexts(hashes) });
         }
-        return ok({ deflated: await this.getDeflated(hashes) });
+        return ok({ deflated: this.getDeflated(hashes) });
     }
 
     /** Drops the replies that are kept, because other chunks are requested from now on. */
@@ -108,7 +97,7 @@
         return hashes.map(hash => texts.get(hash)!);
     }
 
-    private getDeflated(hashes: readonly string[]): Promise<Uint8Array> {
+    private getDeflated(hashes: readonly string[]): Uint8Array {
         const key = hashes.join(" ");
         const known = this.kept.get(key);
         if (known !== undefined) {
@@ -118,7 +107,7 @@
         if (oldest !== undefined && this.kept.size >= maximumKeptReplies) {
             this.kept.delete(oldest);
         }
-        const deflated = deflate(JSON.stringify(this.listTexts(hashes)));
+        const deflated = peers.createDeflated(this.listTexts(hashes));
         this.kept.set(key, deflated);
         return deflated;
     }
--- a/src/configuration/peerSync.ts
+++ b/src/configuration/peerSync.ts
@@ -42,7 +42,7 @@
             return current === undefined ? err(errors.createError("notConfigured")) : ok(current.head);
         });
         const replies = new chunkTransfer.ChunkReplies(() => state.getChunkTexts());
-        mesh.setHandler(chunksTopic, body => replies.createReply(body));
+        mesh.setHandler(chunksTopic, async body => replies.createReply(body));
         mesh.addListener("member", () => this.runCheck());
         state.addListener(() => {
             replies.removeKept();
@@ -125,7 +125,7 @@
                 break;
             }
             const reply = await mesh.sendRequest(peerId, chunksTopic, chunkTransfer.createRequest(missing));
-            const chunkTexts = reply.isErr() ? err(reply.error) : await chunkTransfer.parseReply(reply.value);
+            const chunkTexts = reply.isErr() ? err(reply.error) : chunkTransfer.parseReply(reply.value);
             if (chunkTexts.isErr()) {
                 return err(chunkTexts.error);
             }
--- a/src/discovery/directoryFeed.ts
+++ b/src/discovery/directoryFeed.ts
@@ -4,7 +4,7 @@
 import * as z from "zod";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
-import type * as peers from "../peers/index.js";
+import * as peers from "../peers/index.js";
 import type * as store from "../store/index.js";
 
 /** A directory whose last news from the store is older than this is not followed. */
@@ -22,8 +22,22 @@
 const entrySchema = z.strictObject({ key: z.string().max(512), value: z.string().max(1_048_576), revision: z.number().int().min(0) });
 const positionSchema = { epoch: z.string().max(64), sequence: z.number().int().min(0), ageMs: z.number().min(0) };
 
+const entriesSchema = z.array(entrySchema).max(100_000);
+/** A request to follow. Earlier versions send an empty one, and ignore what it says. */
+const followRequestSchema = z.strictObject({ acceptsDeflated: z.boolean().default(false) });
+const snapshotSchema = z.union([z.strictObject({ ...positionSchema, entries: entriesSchema }), z.strictObject({ ...positionSchema, deflatedEntries: peers.deflatedSchema })]);
+
+/** The body of this version's requests to follow. */
+export const followRequest: z.infer<typeof followRequestSchema> = { acceptsDeflated: true };
+
 /** The whole directory of the sender at a position of its feed. */
-export const snapshotSchema = z.strictObject({ ...positionSchema, entries: z.array(entrySchema).max(100_000) });
+export interface DirectorySnapshot {
+    readonly epoch: string;
+    readonly sequence: number;
+    /** The time since the store last sent news of the directory, in milliseconds. */
+    readonly ageMs: number;
+    readonly entries: readonly store.Entry[];
+}
 
 /** The changes of the sender's directory since a position of its feed; without any, it says that there were none. */
 export const updateSchema = z.strictObject({ ...positionSchema, after: z.number().int().min(0), changed: z.array(entrySchema).max(100_000), removed: z.array(z.string().max(512)).max(100_000) });
@@ -31,6 +45,17 @@
 /** The changes of the sender's directory since a position of its feed. */
 export type DirectoryUpdate = z.infer<typeof updateSchema>;
 
+/** Returns the snapshot of a peer's reply to a request to follow; undefined if the reply is malformed. */
+export function parseSnapshot(reply: unknown): DirectorySnapshot | undefined {
+    const { data } = snapshotSchema.safeParse(reply);
+    if (data === undefined || "entries" in data) {
+        return data;
+    }
+    const { deflatedEntries, ...position } = data;
+    const entries = peers.parseDeflated(deflatedEntries).map(value => entriesSchema.safeParse(value).data).unwrapOr(undefined);
+    return entries === undefined ? undefined : { ...position, entries };
+}
+
 /** Options of a feed. */
 export interface CreateDirectoryFeedOptions {
     readonly context: context.Context;
@@ -51,11 +76,13 @@
     private removed = new Set<string>();
     private isSendScheduled = false;
     private lastAskedAt = -Infinity;
+    /** The compressed entries at a position, kept because all instances of a cell ask for them when its other relay is lost. */
+    private keptEntries: { readonly sequence: number; readonly deflated: Uint8Array; } | undefined;
 
     constructor(private readonly options: CreateDirectoryFeedOptions) {
         const { mesh, context: { randomness } } = options;
         this.epoch = randomness.getIdentifier(8);
-        mesh.setHandler(followTopic, async (_, peerId) => this.addFollower(peerId));
+        mesh.setHandler(followTopic, async (body, peerId) => this.addFollower(body, peerId));
         mesh.setNoticeHandler(unfollowTopic, peerId => void this.followers.delete(peerId));
         mesh.addDisconnectListener(peerId => void this.followers.delete(peerId));
     }
@@ -96,7 +123,7 @@
         return this.followers.size;
     }
 
-    private addFollower(peerId: string): Result<z.infer<typeof snapshotSchema>, errors.FleetError> {
+    private addFollower(body: unknown, peerId: string): Result<z.infer<typeof snapshotSchema>, errors.FleetError> {
         const ageMs = this.options.getAgeMs();
         this.lastAskedAt = this.options.context.clock.getNow();
         if (ageMs > maximumAgeMs) {
@@ -105,7 +132,16 @@
         // A snapshot contains the changes that no update has carried yet, so the others must get them before it is numbered.
         this.sendUpdate();
         this.followers.add(peerId);
-        return ok({ epoch: this.epoch, sequence: this.sequence, ageMs, entries: [...this.options.listEntries()] });
+        const position = { epoch: this.epoch, sequence: this.sequence, ageMs };
+        const acceptsDeflated = followRequestSchema.safeParse(body).data?.acceptsDeflated ?? false;
+        return ok(acceptsDeflated ? { ...position, deflatedEntries: this.getDeflatedEntries() } : { ...position, entries: [...this.options.listEntries()] });
+    }
+
+    private getDeflatedEntries(): Uint8Array {
+        if (this.keptEntries?.sequence !== this.sequence) {
+            this.keptEntries = { sequence: this.sequence, deflated: peers.createDeflated(this.options.listEntries()) };
+        }
+        return this.keptEntries.deflated;
     }
 
     private sendUpdate(): void {
--- a/src/discovery/directoryFollower.ts
+++ b/src/discovery/directoryFollower.ts
@@ -124,8 +124,8 @@
     private async readSnapshot(peerId: string): Promise<void> {
         const { mesh, context: { clock, logger }, setEntries } = this.options;
         const sentAt = clock.getNow();
-        const reply = await mesh.sendRequest(peerId, directoryFeed.followTopic, {});
-        const snapshot = reply.isOk() ? directoryFeed.snapshotSchema.safeParse(reply.value).data : undefined;
+        const reply = await mesh.sendRequest(peerId, directoryFeed.followTopic, directoryFeed.followRequest);
+        const snapshot = reply.isOk() ? directoryFeed.parseSnapshot(reply.value) : undefined;
         if (snapshot === undefined) {
             this.refusals += 1;
             logger.writeDebug("directory-follow-refused", `${peerId} cannot be followed`, { peer: peerId, reason: reply.isErr() ? reply.error.message : "the reply is malformed" });
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -3,6 +3,7 @@
 import * as plugins from "../kernel/plugins.js";
 import * as mesh from "./mesh.js";
 
+export { createDeflated, deflatedSchema, parseDeflated } from "./deflatedBody.js";
 export type { Member, MemberState } from "./members.js";
 export { Mesh, meshKey } from "./mesh.js";
 export { computeRelayScore } from "./topology.js";
