Send no 408 after a request that was answered meanwhile

Callers saw: after an instance had stood still for longer than the head time-out, a request that had arrived on a new connection was answered (404), and a second answer, 408, followed on the same connection. The caller's next request would have taken it for its own. Cause: reads what has arrived before a head time-out ends the connection, and then checks for an open response only. One that is refused at once is complete by then. Evidence: the new case of test/integration.timeoutsAfterStall.test.ts got 404 and 408 on, 1 of 1 run. Change: a request that came while the input was read counts, whether or not its response is still open.

--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -152,9 +152,10 @@
 
     private async handleClientError(error: Error, socket: net.Socket): Promise<void> {
         if (getErrorCode(error) === requestTimeoutCode) {
-            // After a stall, the time-out comes before a request that has arrived is read.
+            // After a stall, the time-out comes before a request that has arrived is read. It may be answered by now.
+            const requestsBefore = this.connections.countRequests(socket);
             await this.connections.waitUntilRead();
-            if (this.connections.countOpenResponses(socket) > 0) {
+            if (this.connections.countRequests(socket) > requestsBefore || this.connections.countOpenResponses(socket) > 0) {
                 return;
             }
         }
--- a/src/kernel/httpConnections.ts
+++ b/src/kernel/httpConnections.ts
@@ -16,6 +16,8 @@
 
 interface Connection {
     readonly responses: Set<http.ServerResponse>;
+    /** The number of requests whose heads were received. */
+    requests: number;
     /** The request of the response that was opened last, until that response closes. */
     request: http.IncomingMessage | undefined;
     /** The bytes received when the last response was complete; undefined before. More bytes since then are the next request. */
@@ -64,6 +66,11 @@
         return this.connections.get(socket)?.responses.size ?? 0;
     }
 
+    /** Returns the number of requests of a connection whose heads were received. */
+    countRequests(socket: net.Socket): number {
+        return this.connections.get(socket)?.requests ?? 0;
+    }
+
     /**
      * Waits until all that the operating system has received for this server was read.
      * @remarks After a stall, due timers run before the event loop polls for input.
@@ -156,6 +163,7 @@
     private addResponse(request: http.IncomingMessage, response: http.ServerResponse): void {
         const { socket } = request;
         const connection = this.connections.get(socket) ?? this.addConnection(socket);
+        connection.requests += 1;
         connection.responses.add(response);
         connection.request = request;
         response.once("close", () => {
@@ -170,7 +178,7 @@
     }
 
     private addConnection(socket: net.Socket): Connection {
-        const connection: Connection = { responses: new Set(), request: undefined, bytesReadWhenIdle: undefined };
+        const connection: Connection = { responses: new Set(), requests: 0, request: undefined, bytesReadWhenIdle: undefined };
         this.connections.set(socket, connection);
         // The HTTP server calls this after the last response of a connection.
         socket.destroySoon = () => {
--- a/test/integration.timeoutsAfterStall.test.ts
+++ b/test/integration.timeoutsAfterStall.test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against time-outs of connections that end a request which has arrived: after a stall, a time-out fires before the
- * request is read, and the caller gets a reset or an error in place of an answer.
+ * request is read, and the caller gets a reset or an error in place of an answer, or an error after its answer, which its next
+ * request would take for its own.
  */
 
 import { once } from "node:events";
@@ -74,3 +75,23 @@
     instance.process.sendSignal("SIGCONT");
     t.match(await answer, /^HTTP\/1.1 200/);
 });
+
+void tap.test("a request that is answered at once after a stall gets no second answer", async t => {
+    const { testPlatform, instance } = await start(t);
+    await setLimits(testPlatform, instance, { headerTimeoutMs: 1_000, idleTimeoutMs: 15_000 });
+    const socket = await openConnection(instance.addresses.caller);
+    t.teardown(() => socket.destroy());
+    let text = "";
+    socket.on("data", data => {
+        text += data.toString("latin1");
+    });
+    await wait(300);
+    instance.process.sendSignal("SIGSTOP");
+    await wait(100);
+    socket.write(`GET /nowhere HTTP/1.1\r\nHost: ${platform.host}\r\nRequest-Id: first\r\nDeadline-Ms: 4000\r\n\r\n`);
+    await wait(3_000);
+    instance.process.sendSignal("SIGCONT");
+    await processes.waitFor("the request is answered", () => text.includes("HTTP/1.1"));
+    await wait(500);
+    t.strictSame(text.match(/HTTP\/1\.1 \d+/g), ["HTTP/1.1 404"]);
+});
