Continue a broken body during a planned stop

Callers saw: a download whose upstream broke off during a planned stop was cut, although another upstream had the rest of it and the stop had 4.6 s left. Cause: holds each request that has not been sent to the rule for late ones. The request for the rest of a body begins with no attempts sent, so it was refused like one whose caller has received nothing; the same when queued requests are refused before the end. Evidence: test/integration.drainContinuedBody.test.ts on, one run: 786,432 of 1,310,720 bytes, not complete. Change: a continuation is never refused as not executed. Result: whole in 3 of 3 runs; test/requests/ passes. Left: if the next upstream rejects the continuation, it is still not sent to a third one during a stop.

--- a/src/requests/runWithRetries.ts
+++ b/src/requests/runWithRetries.ts
@@ -38,6 +38,8 @@
     attempts: number;
     /** Attempts that the upstream may have run. */
     sentAttempts: number;
+    /** Whether the caller has received a part of the response, so that the request can no longer be refused. */
+    readonly isContinuation: boolean;
 }
 
 /** The result of waiting for the response headers. */
@@ -52,7 +54,7 @@
  * @param caller - The response object of the caller's connection.
  */
 export async function runWithRetries(executor: executorContext.ExecutorContext, request: types.RoutedRequest, caller: http.ServerResponse): Promise<ExecutionSummary> {
-    const progress: Progress = { excludedUpstreamIds: new Set(), attempts: 0, sentAttempts: 0 };
+    const progress: Progress = { excludedUpstreamIds: new Set(), attempts: 0, sentAttempts: 0, isContinuation: false };
     executor.getRetryBudget(request.route.service).recordRequest();
     while (true) {
         const result = await openResponse(executor, request, progress, []);
@@ -73,7 +75,7 @@
     const service = request.route.service;
     while (true) {
         const canRetry = progress.sentAttempts + 1 < request.route.maximumAttempts && executor.getRetryBudget(service).getRemainingRetries() >= 1;
-        const slot = await executor.acquireSlot(request, progress.excludedUpstreamIds, { isRetry: progress.attempts > 0, canRetry, mayHaveRun: progress.sentAttempts > 0 });
+        const slot = await executor.acquireSlot(request, progress.excludedUpstreamIds, { isRetry: progress.attempts > 0, canRetry, mayHaveRun: progress.isContinuation || progress.sentAttempts > 0 });
         if (slot.isErr()) {
             return { kind: "error", error: createUnansweredError(slot.error, progress.sentAttempts) };
         }
@@ -270,7 +272,7 @@
 async function openContinuation(executor: executorContext.ExecutorContext, request: types.RoutedRequest, resumable: rangeResume.ResumableBody, offset: number, brokenUpstream: string): Promise<OpenedResponse | undefined> {
     const headersWithoutRange = headers.listEndToEndHeaders(request.rawHeaders, ["range", "if-range", "if-none-match", "if-modified-since", "if-match", "if-unmodified-since"]);
     const resumed = { ...request, rawHeaders: headersWithoutRange };
-    const progress: Progress = { excludedUpstreamIds: new Set([brokenUpstream]), attempts: 1, sentAttempts: 0 };
+    const progress: Progress = { excludedUpstreamIds: new Set([brokenUpstream]), attempts: 1, sentAttempts: 0, isContinuation: true };
     const result = await openResponse(executor, resumed, progress, rangeResume.createResumeHeaders(resumable, offset));
     if (result.kind === "error") {
         return undefined;
