Answer 502 for an order whose key's owner was lost while it had it

Callers saw: 503 for an order that an upstream had run. The instance that owns the order's key had been passed the order and stopped, or was killed, before its end; the instance that had forwarded it answered orderOwnerUnreachable. Its outcome header says unknown, but the users' rules take 503 for a promise that the request has not run and never will (REFUSED). Cause: one error for an owner that could not be reached and for one whose response did not come. No stop is needed for it. Change: once the connection to the owner is established, the error is answerLost (502, unknown, same key).

--- a/src/orders/forwardOrder.ts
+++ b/src/orders/forwardOrder.ts
@@ -28,18 +28,24 @@
 /**
  * Forwards an order and returns the owner's result.
  * @param options - The order and its owner.
- * @remarks If forwarding fails, the outcome is unknown, because the owner may already have run an order with this key.
+ * @remarks If forwarding fails, the outcome is unknown, because the owner may already have run an order with this key. Once
+ * the owner may have received this request, the status of the error must not say either that it has not run.
  */
 export function forwardOrder(options: ForwardOrderOptions): Promise<orderLedger.OrderResult> {
     const { context, request, address } = options;
     const { loop, clock, settings: currentSettings } = context;
     const remainingMs = request.deadlineAt - clock.getNow();
     return new Promise(resolve => {
-        const reject = (reason: string) => resolve({ kind: "error", attempts: 0, error: errors.createError("orderOwnerUnreachable", `the order key's owner at ${address}: ${reason}`) });
+        let wasSent = false;
+        const reject = (reason: string) => resolve({ kind: "error", attempts: 0, error: errors.createError(wasSent ? "answerLost" : "orderOwnerUnreachable", `the order key's owner at ${address}: ${reason}`) });
         const sent = http.request({ ...settings.parseAddress(address), method: request.method, path: request.path, agent: false, headers: createHeaders(options, remainingMs) });
         const cancelDeadline = loop.scheduleOnce(remainingMs + responseGraceMs, () => sent.destroy(new Error("no response within the deadline")));
         const cancelConnect = loop.scheduleOnce(connectTimeoutMs, () => sent.destroy(new Error(`no connection within ${connectTimeoutMs} ms`)));
-        sent.on("socket", socket => socket.once("connect", cancelConnect));
+        sent.on("socket", socket =>
+            socket.once("connect", () => {
+                wasSent = true;
+                cancelConnect();
+            }));
         sent.on("error", error => reject(errors.getErrorMessage(error)));
         sent.on("close", () => {
             cancelDeadline();
