Refuse a request whose service was removed with 503 instead of 404

Callers saw: 404 for a request that every configuration allows. Cause: a service that is unknown when a slot is asked for was reported as a route that no configuration has. Evidence: test/integration.serviceRemoved.test.ts on: 404 for the order and for the lookup, 2 of 2 runs. Change: such a request is refused like those that wait for a slot at that moment (overloaded, not executed, later). Sent again, it goes to the other service, or gets 404 if its route was removed. Result: 3 of 3 runs pass; test/admission/ and test/integration.configuration.test.ts pass.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -54,7 +54,8 @@
     /** Waits for a slot at an upstream of the request's service. An error means that no attempt was made. */
     acquireSlot(request: types.SlotRequest): Promise<Result<types.Slot, errors.FleetError>> {
         const serviceScheduler = this.schedulers.get(request.service);
-        return serviceScheduler?.acquireSlot(request) ?? Promise.resolve(err(errors.createError("routeNotFound", `the service ${request.service} is no longer configured`)));
+        // The request's route may go to another service by now.
+        return serviceScheduler?.acquireSlot(request) ?? Promise.resolve(err(errors.createError("overloaded", `the service ${request.service} is no longer configured`)));
     }
 
     /** Rejects every queued request; those that hold a slot go on. */
--- a/src/requests/runWithRetries.ts
+++ b/src/requests/runWithRetries.ts
@@ -88,7 +88,7 @@
         const definition = executor.getServiceDefinition(service);
         if (definition === undefined) {
             slot.value.release("cancelled");
-            return { kind: "error", error: createUnansweredError(errors.createError("routeNotFound", `the service ${service} is no longer configured`), progress.sentAttempts) };
+            return { kind: "error", error: createUnansweredError(errors.createError("overloaded", `the service ${service} is no longer configured`), progress.sentAttempts) };
         }
         const result = await executor.sendAttempt({
             context: executor.context,
