Read what upstreams have sent when a stall delays the end of a shutdown

Callers saw: a response of 500 KB that an upstream had sent was cut without a head, because the process stood still until after the end of its shutdown. Small responses were passed on. Cause: on waking, the timers of the end and of its overrun are both due, and connections were closed after one poll for input; a response of several reads was not whole by then. The same class as: what has been read is taken for what has arrived. Change: if the end comes over 50 ms late, responses are read for up to 30 ms more, and the kernel's 50 ms for overruns count from when its timer runs; both end with the budget of the last steps, less what a late signal has used of it.

--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -21,6 +21,10 @@
 const queueRejectionLeadMs = 100;
 /** How long before the port closes estimates of latencies no longer count, since a busy process may handle the signal that stops it later than it can tell. */
 const estimatesLeadMs = 500;
+/** A shutdown that ends later than this was delayed by a stall. Responses that upstreams have sent meanwhile may take several polls to be read. */
+const lateEndMs = 50;
+/** How long they are read. */
+const lateReadMs = 30;
 /** How often Node.js checks connections against the header timeout, in milliseconds. */
 const connectionCheckIntervalMs = 500;
 
@@ -102,7 +106,7 @@
      * @param shutdown - The shutdown, with its end.
      */
     async drain(shutdown: plugins.Shutdown): Promise<void> {
-        const { requestedAt, startedAt, endsAt } = shutdown;
+        const { requestedAt, startedAt, endsAt, readsEndAt } = shutdown;
         const { context: { settings: { entriesTtlMs, entriesGraceMs }, clock }, mesh, executor } = this.options;
         const entriesExpireAt = requestedAt + entriesTtlMs + entriesGraceMs;
         // Peers list this instance until now, also if the signal was handled late.
@@ -120,6 +124,9 @@
         await this.waitForRequests(endsAt - queueRejectionLeadMs);
         this.options.rejectQueued();
         await this.waitForRequests(endsAt);
+        if (clock.getNow() - endsAt > lateEndMs) {
+            await this.waitForRequests(Math.min(clock.getNow() + lateReadMs, readsEndAt));
+        }
         this.drainLog.writeEnd();
         // Requests that arrived from now on would be passed on and then cut.
         this.connections.closeAll();
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -132,7 +132,7 @@
         this.stalls.takeLongestStallMs();
         const drained = shutdown.drainPlugins({ plugins: this.runningPlugins, shutdown: current, logger: log });
         // A plug-in that waits for an external system must not delay the exit past the time at which the platform kills the process.
-        await Promise.race([drained, new Promise<void>(resolve => timers.scheduleOnce(timeoutMs + drainOverrunMs, resolve))]);
+        await Promise.race([drained, this.waitForOverrun(current)]);
         timers.stop();
         this.sink.removeLowSeverityLimit();
         for (const { plugin } of [...this.runningPlugins].reverse()) {
@@ -144,6 +144,17 @@
         await this.sink.waitUntilWritten(Math.min(finalLogFlushTimeoutMs, Math.max(0, current.exitsAt - systemClock.getNow())));
         this.stopListeners.forEach(listener => listener());
     }
+
+    /** Waits until the time of a shutdown is over, and then until plug-ins have had time to end, also after a stall. */
+    private waitForOverrun({ endsAt, readsEndAt }: plugins.Shutdown): Promise<void> {
+        const { clock: systemClock, loop: timers } = this.context;
+        return new Promise(resolve =>
+            timers.scheduleOnce(endsAt - systemClock.getNow(), () => {
+                const latestAt = Math.max(endsAt + drainOverrunMs, readsEndAt);
+                timers.scheduleOnce(Math.max(0, Math.min(drainOverrunMs, latestAt - systemClock.getNow())), resolve);
+            })
+        );
+    }
 }
 
 function createContext(options: settings.ServeSettings, systemClock: clock.Clock, sink: logSink.LogSink): context.Context {
--- a/src/kernel/plugins.ts
+++ b/src/kernel/plugins.ts
@@ -11,6 +11,8 @@
     readonly startedAt: number;
     /** When the shutdown ends and what is still in flight is cut, in monotonic milliseconds. */
     readonly endsAt: number;
+    /** Until when responses that upstreams have sent are still read, if a stall delayed the end. */
+    readonly readsEndAt: number;
     /** When connections on which a response is still being written are closed at the latest. */
     readonly closesAt: number;
     /** When the process exits at the latest. */
--- a/src/kernel/shutdown.ts
+++ b/src/kernel/shutdown.ts
@@ -33,7 +33,9 @@
     const countedFrom = Math.max(requestedAt, startedAt - maximumShorteningMs);
     const latestEndAt = killAfterS === 0 ? Infinity : Math.max(startedAt, countedFrom + killAfterS * millisecondsPerSecond - exitReserveMs);
     const endsAt = Math.min(startedAt + drainTimeoutMs, latestEndAt);
-    return { requestedAt, startedAt, endsAt, closesAt: endsAt + finalResponsesMs, exitsAt: endsAt + exitMs };
+    // A delay that did not shorten the shutdown has used up a part of the reserve.
+    const readsEndAt = Math.max(endsAt, endsAt + exitMs - (countedFrom - requestedAt));
+    return { requestedAt, startedAt, endsAt, readsEndAt, closesAt: endsAt + finalResponsesMs, exitsAt: endsAt + exitMs };
 }
 
 /** A plug-in that is to drain. */
--- a/test/kernel/shutdown.test.ts
+++ b/test/kernel/shutdown.test.ts
@@ -26,6 +26,14 @@
     t.ok(now < endsAt && endsAt < closesAt && closesAt < exitsAt && exitsAt < now + 5_700, `${endsAt}, ${closesAt}, ${exitsAt}`);
 });
 
+void tap.test("responses are read after the end only as far as the platform does not kill the process meanwhile", async t => {
+    const now = 50_000;
+    for (const delayMs of [0, 300, 550, 700, 900]) {
+        const { endsAt, readsEndAt } = shutdown.computeShutdown({ settings: { drainTimeoutMs: 900_000, killAfterS: 6 }, requestedAt: now - delayMs, startedAt: now });
+        t.ok(readsEndAt >= endsAt && (readsEndAt === endsAt || readsEndAt < now - delayMs + 6_000), `${delayMs} ms late: ${endsAt}, ${readsEndAt}`);
+    }
+});
+
 /** Plug-ins that record when they drain; `waits` are promises that a plug-in's drain awaits. */
 async function listDrained(dependencies: Readonly<Record<string, readonly string[]>>, drains: Readonly<Record<string, () => Promise<void>>>) {
     const events: string[] = [];
@@ -42,7 +50,7 @@
             },
         },
     }));
-    const ended = shutdown.drainPlugins({ plugins, shutdown: { requestedAt: 0, startedAt: 0, endsAt: 0, closesAt: 0, exitsAt: 0 }, logger: log });
+    const ended = shutdown.drainPlugins({ plugins, shutdown: { requestedAt: 0, startedAt: 0, endsAt: 0, readsEndAt: 0, closesAt: 0, exitsAt: 0 }, logger: log });
     await new Promise(resolve => setImmediate(resolve));
     return { events, failures, ended };
 }
