--- a/src/callers/drainLog.ts
+++ b/src/callers/drainLog.ts
@@ -228,7 +228,7 @@
         .exhaustive();
 }
 
-/** Returns as many identifiers as one line may have. */
+/** Returns the first identifiers, as many as one line may have. */
 function chooseListedIds(requestIds: readonly string[]): readonly string[] {
     let length = 0;
     return requestIds.filter(requestId => {
