--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -127,7 +127,7 @@
             timeoutMs,
             killAfterMs,
             delayMs: Math.round(startedAt - current.requestedAt),
-            stalledMs: Math.round(this.stalls.getStallMs()),
+            stalledMs: Math.round(this.stalls.getCheckDelayMs()),
         });
         this.stalls.takeLongestStallMs();
         const drained = shutdown.drainPlugins({ plugins: this.runningPlugins, shutdown: current, logger: log });
--- a/src/kernel/stallWatch.ts
+++ b/src/kernel/stallWatch.ts
@@ -40,7 +40,7 @@
      * for up to one interval longer.
      * @remarks After a stall, timers run before signal handlers, so the delay of the last check counts too.
      */
-    getStallMs(): number {
+    getCheckDelayMs(): number {
         return Math.max(this.computeDelayMs(), this.lastDelayMs);
     }
 
--- a/test/kernel/stallWatch.test.ts
+++ b/test/kernel/stallWatch.test.ts
@@ -45,16 +45,16 @@
     await t.test("before the start", async t => {
         const { time, watch } = createWatch();
         time.addTime(5_000);
-        t.equal(watch.getStallMs(), 0);
+        t.equal(watch.getCheckDelayMs(), 0);
         t.equal(watch.takeLongestStallMs(), 0);
     });
     await t.test("a check that is overdue", async t => {
         const { time, watch } = createWatch();
         watch.start();
         time.addTime(250);
-        t.equal(watch.getStallMs(), 0);
+        t.equal(watch.getCheckDelayMs(), 0);
         time.addTime(700);
-        t.equal(watch.getStallMs(), 700);
+        t.equal(watch.getCheckDelayMs(), 700);
         t.equal(watch.takeLongestStallMs(), 700);
     });
     await t.test("a check that ran late just before", async t => {
@@ -62,13 +62,13 @@
         watch.start();
         time.addTime(950);
         runCheck();
-        t.equal(watch.getStallMs(), 700);
+        t.equal(watch.getCheckDelayMs(), 700);
         t.equal(watch.takeLongestStallMs(), 700);
         t.equal(watch.takeLongestStallMs(), 0, "the longest stall is counted anew");
         t.strictSame(logged, [], "a short stall has no line of its own");
         time.addTime(250);
         runCheck();
-        t.equal(watch.getStallMs(), 0);
+        t.equal(watch.getCheckDelayMs(), 0);
     });
     await t.test("a long stall is logged", async t => {
         const { time, watch, logged, runCheck } = createWatch();
