Answer orders with a key that wait for others at the end of a stop

What callers saw: the connection closed without an answer when a planned stop ended while an order waited for the store's answer to the claim of its key, for the instance that owns the key, or for an earlier request with the key. In the first case the order had not been sent and could have been refused.

Cause: the end refuses what waits for a slot and what waits for the retry budget, but knows nothing of these waits. After a claim that took long an order was also forwarded without a look at what is left of the stop.

Change: the waits end before the connections close. An order that waits for its claim is refused 100 ms before the end (stoppedBeforeSend, 503, outcome unknown, since an earlier request with the key may have run), and its run ends there, so that a claim which takes effect later sends nothing. Waits for an outcome end with the stop (stoppedAfterSend, 504, unknown); 30 ms, within the overrun that the kernel allows, are left to write these answers. An order is forwarded only if it can be expected to end before the stop does.

Orders that an upstream runs at the end are cut as before, which drainLog asserts.

--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -19,6 +19,8 @@
 const drainPollIntervalMs = 20;
 /** How long before the end of a shutdown queued requests are refused, so that their responses are still sent. */
 const queueRejectionLeadMs = 100;
+/** How long after the end of a shutdown the last responses are written, within the overrun that the kernel allows. */
+const finalResponsesMs = 30;
 /** How long before the port closes estimates of latencies no longer count, since a busy process may handle the signal that stops it later than it can tell. */
 const estimatesLeadMs = 500;
 /** A shutdown that ends later than this was delayed by a stall. Responses that upstreams have sent meanwhile may take several polls to be read. */
@@ -106,7 +108,7 @@
      * @param shutdown - The shutdown, with its end.
      */
     async drain(shutdown: plugins.Shutdown): Promise<void> {
-        const { requestedAt, startedAt, endsAt, readsEndAt } = shutdown;
+        const { requestedAt, startedAt, endsAt } = shutdown;
         const { context: { settings: { entriesTtlMs, entriesGraceMs }, clock }, mesh, executor } = this.options;
         const entriesExpireAt = requestedAt + entriesTtlMs + entriesGraceMs;
         // Peers list this instance until now, also if the signal was handled late.
@@ -121,12 +123,7 @@
         this.connections.stopListening();
         const closedIdle = this.connections.closeIdle();
         this.drainLog.writePortClosed(closedIdle, this.connections.countConnections());
-        await this.waitForRequests(endsAt - queueRejectionLeadMs);
-        this.options.rejectQueued();
-        await this.waitForRequests(endsAt);
-        if (clock.getNow() - endsAt > lateEndMs) {
-            await this.waitForRequests(Math.min(clock.getNow() + lateReadMs, readsEndAt));
-        }
+        await this.finishRequests(shutdown);
         this.drainLog.writeEnd();
         // Requests that arrived from now on would be passed on and then cut.
         this.connections.closeAll();
@@ -139,6 +136,21 @@
         this.drainLog.writeSummary();
     }
 
+    /** Waits for the requests in flight until the shutdown ends, and answers before it those that were not sent. */
+    private async finishRequests({ endsAt, readsEndAt }: plugins.Shutdown): Promise<void> {
+        const { context: { clock }, orders: orderService } = this.options;
+        await this.waitForRequests(endsAt - queueRejectionLeadMs);
+        this.options.rejectQueued();
+        orderService.rejectUnclaimed();
+        await this.waitForRequests(endsAt);
+        if (clock.getNow() - endsAt > lateEndMs) {
+            await this.waitForRequests(Math.min(clock.getNow() + lateReadMs, readsEndAt));
+        }
+        if (orderService.finishOutcomeWaits() > 0) {
+            await this.waitForRequests(Math.max(endsAt + finalResponsesMs, Math.min(clock.getNow() + finalResponsesMs, readsEndAt)));
+        }
+    }
+
     private async waitForRequests(until: number): Promise<void> {
         await this.connections.waitUntilRead();
         while (this.countInFlight() > 0 && this.options.context.clock.getNow() < until) {
--- a/src/kernel/errors.ts
+++ b/src/kernel/errors.ts
@@ -36,6 +36,8 @@
     notConfigured: createDefinition(503, "Unavailable", "not-executed", "otherInstance", "The instance has no configuration yet."),
     configurationStale: createDefinition(503, "Unavailable", "not-executed", "otherInstance", "The instance can reach neither the store nor half of its peers, so a newer configuration may be active."),
     draining: createDefinition(503, "Unavailable", "not-executed", "otherInstance", "The instance is shutting down and accepts no new requests."),
+    stoppedBeforeSend: createDefinition(503, "Unavailable", "unknown", "sameKey", "The instance shut down before the request was sent; an earlier one with the same order key may have been executed."),
+    stoppedAfterSend: createDefinition(504, "Unavailable", "unknown", "sameKey", "The instance shut down before it knew the outcome of the order, which may have been executed."),
     overloaded: createDefinition(503, "ResourceExhausted", "not-executed", "later", "The queue of the request's rank is full."),
     deadlineBeforeSend: createDefinition(503, "DeadlineExceeded", "not-executed", "later", "The deadline passed, or could not be met, before the request was sent."),
     upstreamUnavailable: createDefinition(503, "Unavailable", "not-executed", "later", "No upstream could be reached, so the request was not sent."),
--- a/src/orders/orderService.ts
+++ b/src/orders/orderService.ts
@@ -4,6 +4,7 @@
  */
 
 import * as crypto from "node:crypto";
+import { err } from "neverthrow";
 import * as promClient from "prom-client";
 import { match } from "ts-pattern";
 import type * as context from "../kernel/context.js";
@@ -12,6 +13,7 @@
 import type * as peers from "../peers/index.js";
 import * as requests from "../requests/index.js";
 import * as orderKeyClaims from "./orderKeyClaims.js";
+import * as endableWaits from "./endableWaits.js";
 import * as forwardOrder from "./forwardOrder.js";
 import * as orderLedger from "./orderLedger.js";
 import * as orderKey from "./orderKey.js";
@@ -40,6 +42,10 @@
     private readonly ledger: orderLedger.OrderLedger;
     private readonly secret: string;
     private readonly startedAt: number;
+    /** The waits of orders that have not been sent. */
+    private readonly claimWaits = new endableWaits.EndableWaits();
+    /** The waits for orders that another instance or an earlier request runs. */
+    private readonly outcomeWaits = new endableWaits.EndableWaits();
     private readonly outcomes: promClient.Counter<"handling" | "outcome">;
 
     constructor(private readonly options: CreateOrderServiceOptions) {
@@ -115,6 +121,16 @@
             .exhaustive();
     }
 
+    /** Refuses the orders that wait for the claim of their key. They are not sent, also if the claim takes effect. */
+    rejectUnclaimed(): void {
+        this.claimWaits.finish();
+    }
+
+    /** Ends the waits for orders that another instance or an earlier request runs, with an unknown outcome. Returns their number. */
+    finishOutcomeWaits(): number {
+        return this.outcomeWaits.finish();
+    }
+
     /** Returns the number of orders with a key that are running at this instance. */
     countRunning(): number {
         return this.ledger.countRunning();
@@ -147,7 +163,7 @@
             return this.runOwnedKey(request, key.text, Infinity);
         }
         request.progress.setWait({ kind: "orderKeyClaim" });
-        const claimed = await this.options.claims.claimKey(key.text);
+        const claimed = await this.claimWaits.wait(() => this.options.claims.claimKey(key.text), () => err(errors.createError("stoppedBeforeSend", "the instance stops, and the store has not answered the claim of the order key")));
         if (claimed.isErr()) {
             return createFailure(claimed.error);
         }
@@ -173,7 +189,7 @@
             .with({ kind: "join" }, ({ result }) => {
                 this.outcomes.inc({ handling: "joined", outcome: "none" });
                 request.progress.setWait({ kind: "earlierRequest" });
-                return result;
+                return this.waitForOutcome(() => result);
             })
             .with({ kind: "replay" }, ({ result }) => {
                 this.countOutcome("replayed", result);
@@ -185,17 +201,25 @@
 
     /** Forwards an order to the incarnation that owns its key. Only that incarnation may run the order, and only it knows the outcome. */
     private async forwardToOwner(request: requests.RoutedRequest, key: string, claim: Pick<orderKeyClaims.Claim, "owner" | "incarnation">, forwardedBy: string | undefined): Promise<orderLedger.OrderResult> {
-        const { context, mesh } = this.options;
+        const { context, mesh, executor } = this.options;
         const owner = mesh.getMember(claim.owner);
         if (owner === undefined || owner.incarnation !== claim.incarnation || forwardedBy !== undefined) {
             return createFailure(errors.createError("orderOwnerUnreachable", `the order key belongs to ${claim.owner}, which ${context.identity.instanceId} cannot reach`));
         }
+        // The claim may have taken long.
+        if (!executor.isAdmitted(request)) {
+            return createFailure(errors.createError("stoppedBeforeSend", `the instance stops before the order, whose key belongs to ${claim.owner}, can be expected to end`));
+        }
         request.progress.setWait({ kind: "orderKeyOwner" });
-        const result = await forwardOrder.forwardOrder({ context, request, key, address: owner.callerAddress });
+        const result = await this.waitForOutcome(() => forwardOrder.forwardOrder({ context, request, key, address: owner.callerAddress }));
         this.countOutcome("forwarded", result);
         return result;
     }
 
+    private waitForOutcome(start: () => Promise<orderLedger.OrderResult>): Promise<orderLedger.OrderResult> {
+        return this.outcomeWaits.wait(start, () => createFailure(errors.createError("stoppedAfterSend")));
+    }
+
     private countOutcome(handling: "ran" | "replayed" | "forwarded", result: orderLedger.OrderResult): void {
         const outcome = result.kind === "answer" ? result.outcome : errors.getErrorDefinition(result.error).outcome;
         this.outcomes.inc({ handling, outcome });
