Answer late repeats at a stopping instance from what it knows

What callers saw: a repeated order that reached the key's owner late in a planned stop, directly or forwarded by another instance, was refused with 409, "no" retry, although the owner had the order's response or was running it. A late order with a new key of the caller's own got the same 409, which tells it to give up, instead of a 503.

Cause: the refusal looked into the ledger only for keys that the instance had issued, not for keys that it had claimed.

Change: a refusal looks into the ledger for claimed keys too, if the request was read whole and its content is that of the first one; a key of the caller's own may be used by a stranger, who must not get the response. Unknown keys get stoppedBeforeSend (503, unknown, retry with the same key). A joined order ends with the stop like the others.

--- a/src/callers/callerRequestHandler.ts
+++ b/src/callers/callerRequestHandler.ts
@@ -150,7 +150,7 @@
             return;
         }
         if (!executor.isAdmitted(routedRequest)) {
-            await this.rejectRequest(request, response, orderKeyText, { ...errors.createError("draining", "the instance stops before the request can be expected to end"), retryAfterMs: 0 });
+            await this.rejectRequest(request, response, orderKeyText, { ...errors.createError("draining", "the instance stops before the request can be expected to end"), retryAfterMs: 0 }, routedRequest);
             return;
         }
         if (route.repeatable) {
@@ -206,12 +206,12 @@
     }
 
     /** Rejects a request. If it has an order key, the response reports what is known about the order with that key. */
-    private async rejectRequest(request: http.IncomingMessage, response: http.ServerResponse, orderKeyText: string | undefined, error: errors.FleetError): Promise<void> {
+    private async rejectRequest(request: http.IncomingMessage, response: http.ServerResponse, orderKeyText: string | undefined, error: errors.FleetError, routedRequest?: requests.RoutedRequest): Promise<void> {
         request.resume();
         this.metrics.recordRejection(error.kind);
         const current = this.options.configuration.getCurrent();
         this.requestLog.writeRejectedRequest(parseRequest.parseRequestId(request, current), error, current?.head.version ?? 0);
-        const orderResult = orderKeyText === undefined ? undefined : await this.options.orders.resolveRefusal(orderKeyText, error);
+        const orderResult = orderKeyText === undefined ? undefined : await this.options.orders.resolveRefusal(orderKeyText, error, routedRequest);
         if (error.kind === "bodyTooLarge" || error.kind === "badRequest") {
             response.setHeader("connection", "close");
         }
--- a/src/orders/orderService.ts
+++ b/src/orders/orderService.ts
@@ -94,28 +94,33 @@
      * Decides the result of a request that is refused before its order starts.
      * @param keyText - The order key.
      * @param error - The reason for the refusal.
-     * @returns The outcome of the key's first request if this instance has it. The refusal if this instance issued the key
-     * and has not seen it before; the key then stays refused. Otherwise an error with an unknown outcome, because an
-     * earlier request with the key may have run.
+     * @param request - The request, if it was read whole. Without it, the outcome of a key that a caller made is not returned,
+     * since another caller may have used the same key.
+     * @returns The outcome of the key's first request if this instance owns the key and has seen it. The refusal if this
+     * instance issued the key and has not seen it before; the key then stays refused. Otherwise an error with an unknown
+     * outcome, because an earlier request with the key may have run.
      */
-    async resolveRefusal(keyText: string, error: errors.FleetError): Promise<orderLedger.OrderResult> {
+    async resolveRefusal(keyText: string, error: errors.FleetError, request: requests.RoutedRequest | undefined): Promise<orderLedger.OrderResult> {
         const { identity, clock } = this.options.context;
         const parsed = orderKey.parseOrderKey(keyText);
         if (parsed.isErr()) {
             return createFailure(parsed.error);
         }
         const key = parsed.value;
-        const isOwnKey = key.kind === "issued" && key.owner === identity.instanceId && key.incarnation === identity.incarnation && orderKey.isMacValid(key, this.secret);
-        if (!isOwnKey) {
-            return createFailure(errors.createError("refusedRepeat", `the request was refused: ${error.message}; an earlier request with the same order key may have run`));
+        const isIssuedHere = key.kind === "issued" && key.owner === identity.instanceId && key.incarnation === identity.incarnation && orderKey.isMacValid(key, this.secret);
+        const isKnown = request !== undefined && this.ledger.hasKey(key.text);
+        if (!isIssuedHere && !isKnown) {
+            const kind = error.kind === "draining" ? "stoppedBeforeSend" : "refusedRepeat";
+            return createFailure(errors.createError(kind, `the request was refused: ${error.message}; an earlier request with the same order key may have run`));
         }
-        const decision = this.ledger.admitKey(key.text, undefined, this.startedAt + key.expiresAtMs, clock.getNow());
+        const expiresAt = key.kind === "issued" ? this.startedAt + key.expiresAtMs : Infinity;
+        const decision = this.ledger.admitKey(key.text, request && computeFingerprint(request), expiresAt, clock.getNow());
         return match(decision)
             .with({ kind: "run" }, () => {
                 this.ledger.recordResult(key.text, createFailure(error));
                 return createFailure(error);
             })
-            .with({ kind: "join" }, ({ result }) => result)
+            .with({ kind: "join" }, ({ result }) => this.waitForOutcome(() => result))
             .with({ kind: "replay" }, ({ result }) => result)
             .with({ kind: "refuse" }, () => createFailure(errors.createError("refusedRepeat", `the request was refused: ${error.message}; the order key was used before`)))
             .exhaustive();
--- a/test/integration.drainOrderKeys.test.ts
+++ b/test/integration.drainOrderKeys.test.ts
@@ -34,14 +34,14 @@
     return { testPlatform, instances, setBehaviour, countRuns };
 }
 
-async function sendOrder(instance: platform.PlatformInstance, requestId: string, key: string): Promise<OrderReply> {
+async function sendOrder(instance: platform.PlatformInstance, requestId: string, key: string, body = "x"): Promise<OrderReply> {
     const sentAt = performance.now();
     const describe = ({ status, headers, isComplete }: processes.HttpResponse) => ({
         status: isComplete ? status : `${status} cut`,
         outcome: headers["x-agatebend-outcome"],
         error: headers["x-agatebend-error"],
     });
-    const sent = instance.send("/order/1", { method: "POST", body: "x", deadlineMs: 12_000, requestId, headers: { "x-agatebend-order-key": key } });
+    const sent = instance.send("/order/1", { method: "POST", body, deadlineMs: 12_000, requestId, headers: { "x-agatebend-order-key": key } });
     const reply = await sent.then(describe, (error: Error) => ({ status: error.message }));
     return { ...reply, afterMs: Math.round(performance.now() - sentAt) };
 }
@@ -102,3 +102,26 @@
     t.equal(await owner!.process.waitForExit(), 0);
     t.equal(await countRuns("first") + await countRuns("repeat") + await countRuns("forwarded"), 1);
 });
+
+// Guards against a late repeat that a stopping instance refuses although it has the order's response, or joins and then cuts, and against the advice not to retry.
+void tap.test("late repeats at a stopping owner get the response that it has, and late orders with new keys are refused with true advice", async t => {
+    const { instances: [owner, other], setBehaviour, countRuns } = await start(t, ["north", "south"], { "entries-ttl-ms": 10_000, "entries-grace-ms": 1_000 });
+    t.match(await sendOrder(owner!, "first", "own-1"), { status: 200, outcome: "executed" });
+    await setBehaviour({ workMs: 9_000 });
+    void sendOrder(owner!, "running", "own-2");
+    await processes.waitFor("an upstream runs the order", async () => await countRuns("running") === 1);
+    owner!.process.sendSignal("SIGTERM");
+    await wait(3_200);
+    const replies = await Promise.all([sendOrder(owner!, "repeat", "own-1"), sendOrder(other!, "forwarded", "own-1"), sendOrder(owner!, "joined", "own-2"), sendOrder(owner!, "new", "own-3"), sendOrder(owner!, "stranger", "own-1", "y")]);
+    t.match(replies, [
+        { status: 200, outcome: "executed" },
+        { status: 200, outcome: "executed" },
+        { status: 504, outcome: "unknown", error: "stoppedAfterSend" },
+        { status: 503, outcome: "unknown", error: "stoppedBeforeSend" },
+        { status: 409, outcome: "unknown", error: "refusedRepeat" },
+    ]);
+    t.equal(await owner!.process.waitForExit(), 0);
+    for (const requestId of ["repeat", "forwarded", "joined", "new", "stranger"]) {
+        t.equal(await countRuns(requestId), 0, requestId);
+    }
+});
