Catch signals from the first line of the program on

What callers saw: nothing is shown. A process that got SIGHUP (new settings) or SIGTERM within its first 0.4 s ended by the signal's default action. By reading, a caller that was served between the opening of the callers' port and the setting of the handler was cut by a SIGTERM.

Cause: the handlers were set after the instance had started.

Change: the launcher's first lines catch SIGTERM, SIGINT and SIGHUP for the command serve, and keep each signal until its handler is set. A pending SIGTERM ends the process with status 0 before anything is opened. During the start it gives the start up: the plug-ins without ports for callers drain, which removes the entry from the store. Once the ports are being opened, which waits for no other system any more (the wait for the peers' marks comes before, in waitUntilReady), the instance drains as usual. Pending signals are handled before the first port opens. A SIGHUP is applied after the start.

The tests start the program with "env -u NODE_OPTIONS": tap adds signal handlers of its own to Node.js processes, and loads its modules first.

--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -56,8 +56,8 @@
             entries.checkShadowedRoutes(document);
         });
         return {
+            waitUntilReady: () => context.services.getService(pool.leavingUpstreamsKey).waitUntilMarksRead(),
             open: async () => {
-                await context.services.getService(pool.leavingUpstreamsKey).waitUntilMarksRead();
                 await server.start();
                 await auxiliary.start();
             },
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -6,6 +6,7 @@
 import * as settings from "../settings/index.js";
 import * as exitStatus from "./exitStatus.js";
 import * as settingsFile from "./settingsFile.js";
+import * as signals from "./signals.js";
 
 /** How often the settings are read again to detect changes, in milliseconds. */
 const settingsPollIntervalMs = 2_000;
@@ -15,6 +16,10 @@
  * @param values - Raw settings by name, from flags and environment variables; they override the settings file.
  */
 export async function runServe(values: Readonly<Record<string, unknown>>): Promise<void> {
+    let stop = (): void => process.exit(exitStatus.exitStatus.success);
+    signals.setHandler("SIGTERM", () => stop());
+    signals.setHandler("SIGINT", () => stop());
+    await signals.waitUntilHandled();
     const readSettings = () => readSettingsFileValues().andThen(fileValues => settings.checkServeSettings({ ...fileValues, ...values }));
     const settingsResult = readSettings();
     if (settingsResult.isErr()) {
@@ -25,17 +30,16 @@
     let instance: kernel.Kernel;
     try {
         instance = new kernel.Kernel(settingsResult.value);
-        await instance.start();
+        const started = instance;
+        started.addStopListener(() => process.exit(exitStatus.exitStatus.success));
+        stop = () => void started.drain();
+        await started.start();
     }
     catch (thrown) {
         process.stderr.write(`agatebend: the instance failed to start: ${kernel.errors.getErrorMessage(thrown)}\n`);
         process.exit(exitStatus.exitStatus.failure);
     }
     watchSettings(instance, settingsResult.value, readSettings);
-    const stop = () => void instance.drain();
-    process.on("SIGTERM", stop);
-    process.on("SIGINT", stop);
-    instance.addStopListener(() => process.exit(exitStatus.exitStatus.success));
     process.on("uncaughtException", error => {
         instance.context.logger.writeError("uncaught-exception", error.message, { stack: error.stack });
     });
@@ -66,6 +70,6 @@
         }
         instance.setSettings(settingsResult.value);
     };
-    process.on("SIGHUP", () => reload("signal"));
+    signals.setHandler("SIGHUP", () => reload("signal"));
     loop.scheduleRepeatedly(settingsPollIntervalMs, () => reload("file"));
 }
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -45,6 +45,8 @@
     readonly context: context.Context;
     private readonly runningPlugins: { readonly name: string; readonly dependsOn: readonly string[]; readonly plugin: plugins.RunningPlugin; }[] = [];
     private state: LifecycleState = "starting";
+    /** Settles when the ports are open; undefined before the first one opens. */
+    private openPromise?: Promise<void>;
     private drainPromise?: Promise<void>;
     private readonly stopListeners: (() => void)[] = [];
     private readonly sink: logSink.LogSink;
@@ -62,9 +64,8 @@
         });
     }
 
-    /** Creates and starts every registered plug-in in dependency order. */
+    /** Creates and starts every registered plug-in in dependency order. Gives up if a shutdown begins before the ports are opened. */
     async start(): Promise<void> {
-        const { identity, logger: log } = this.context;
         for (const plugin of plugins.listPlugins()) {
             this.runningPlugins.push({ name: plugin.name, dependsOn: plugin.dependsOn, plugin: plugin.create(this.context) });
         }
@@ -72,11 +73,14 @@
             await plugin.start?.();
         }
         for (const { plugin } of this.runningPlugins) {
-            await plugin.open?.();
+            await plugin.waitUntilReady?.();
+        }
+        // A signal that came while the process was busy is handled before callers are served.
+        await new Promise(resolve => setImmediate(resolve));
+        if (this.drainPromise === undefined) {
+            this.openPromise = this.openPorts();
+            await this.openPromise;
         }
-        this.state = "running";
-        this.stalls.start();
-        log.writeInfo("instance-started", `instance ${identity.instanceId} started`, { version: process.version });
     }
 
     /**
@@ -116,10 +120,31 @@
         };
     }
 
+    private async openPorts(): Promise<void> {
+        const { identity, logger: log } = this.context;
+        for (const { plugin } of this.runningPlugins) {
+            await plugin.open?.();
+        }
+        this.state = "running";
+        this.stalls.start();
+        log.writeInfo("instance-started", `instance ${identity.instanceId} started`, { version: process.version });
+    }
+
+    /** Lists the plug-ins to drain. Before the ports open, those that would wait for callers are left out. */
+    private async listDrainingPlugins(): Promise<typeof this.runningPlugins> {
+        if (this.openPromise === undefined) {
+            return this.runningPlugins.filter(({ plugin }) => plugin.open === undefined);
+        }
+        // `start` reports a failure.
+        await this.openPromise.catch(() => {});
+        return this.runningPlugins;
+    }
+
     private async drainAndStop(): Promise<void> {
         const { clock: systemClock, loop: timers, logger: log, settings: serveSettings } = this.context;
         const startedAt = systemClock.getNow();
         const current = shutdown.computeShutdown({ settings: serveSettings, requestedAt: this.stalls.getEarliestArrivalAt(), startedAt });
+        const draining = await this.listDrainingPlugins();
         const timeoutMs = Math.round(current.endsAt - startedAt);
         this.state = "draining";
         const killAfterMs = serveSettings.killAfterS === 0 ? undefined : Math.round(serveSettings.killAfterS * millisecondsPerSecond);
@@ -130,7 +155,7 @@
             stalledMs: Math.round(this.stalls.getCheckDelayMs()),
         });
         this.stalls.takeLongestStallMs();
-        const drained = shutdown.drainPlugins({ plugins: this.runningPlugins, shutdown: current, logger: log });
+        const drained = shutdown.drainPlugins({ plugins: draining, shutdown: current, logger: log });
         // A plug-in that waits for an external system must not delay the exit past the time at which the platform kills the process.
         await Promise.race([drained, this.waitForOverrun(current)]);
         timers.stop();
--- a/src/kernel/plugins.ts
+++ b/src/kernel/plugins.ts
@@ -23,7 +23,9 @@
 export interface RunningPlugin {
     /** Starts timers and opens the ports for peers. */
     readonly start?: () => Promise<void>;
-    /** Opens the ports for callers and operators; called after every plug-in has started. */
+    /** Waits, for a limited time, for what must be known before the ports for callers open; called after every plug-in has started. */
+    readonly waitUntilReady?: () => Promise<void>;
+    /** Opens the ports for callers and operators, without waiting for other systems. */
     readonly open?: () => Promise<void>;
     /** Applies changed settings, as far as that is possible without a restart. */
     readonly setSettings?: (changed: settings.ServeSettings) => void;
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,5 +1,6 @@
 /** The entry point of the program. */
 
+import "./cli/catchSignals.js";
 import "./cli/enableLogs.js";
 import * as settingsFile from "./cli/settingsFile.js";
 import * as version from "./version.generated.js";
--- a/test/platform/launch.test.ts
+++ b/test/platform/launch.test.ts
@@ -29,4 +29,11 @@
     doTest("an empty cache", flags, true);
     fs.rmSync(cachePath);
     doTest("no cache", flags, false);
+
+    // Guards against a signal that ends the process by default while the program is read and compiled.
+    fs.writeFileSync(path.join(directory, "program.cjs"), `console.log(["SIGTERM", "SIGINT", "SIGHUP"].map(name => process.listenerCount(name)).join(" "));`);
+    // Without the variable by which tap adds its own listeners.
+    const listListeners = (command: string) => childProcess.spawnSync("env", ["-u", "NODE_OPTIONS", process.execPath, path.join(directory, "agatebend.cjs"), command], { encoding: "utf8" }).stdout.trim();
+    t.equal(listListeners("serve"), "1 1 1", "the launcher catches signals before the program is loaded");
+    t.equal(listListeners("watch"), "0 0 0", "signals end other commands");
 });
