Ignore a directory entry that its worker wrote before the one in use

What callers saw: nothing is shown. A late "ready" report that the store took after "draining" made the instance send requests to the leaving worker again (rule DRAIN), until the next report.

Cause: the worker's seq was not read. It rises with each report, and counts anew with each process, which born names.

Change: an entry of the same process (equal born) with a lower seq than the one in use is ignored and logged (directory-entry-outdated). Entries without born or seq are taken as before, since a restart could not be told from a late report.

Not covered: a late entry after the removal of the later one, and an instance that has never seen the later entry.

--- a/src/discovery/directory.ts
+++ b/src/discovery/directory.ts
@@ -19,8 +19,14 @@
 /** An upstream that a directory entry describes. */
 export type DiscoveredUpstream = pool.DiscoveredUpstream;
 
+/** What a directory entry says. */
+export interface EntryContent extends DiscoveredUpstream {
+    /** Rises with each entry that one process of the upstream writes. */
+    readonly sequence?: number;
+}
+
 /** Parses a directory entry from its key and value. */
-export type ParseEntry = (key: string, text: string) => Result<DiscoveredUpstream, errors.FleetError>;
+export type ParseEntry = (key: string, text: string) => Result<EntryContent, errors.FleetError>;
 
 /** The service key of a custom entry parser. Without one, the value of an entry must be the JSON `{"service": NAME, "definition": {...}}`. */
 export const parseEntryKey = serviceRegistry.createServiceKey<ParseEntry>("parseEntry");
@@ -41,6 +47,7 @@
 interface ParsedEntry {
     readonly entry: store.Entry;
     readonly upstream: DiscoveredUpstream | undefined;
+    readonly sequence: number | undefined;
 }
 
 /** Options of an upstream directory. */
@@ -140,10 +147,23 @@
     /** Parses an entry. If its upstream is unchanged, the previous object is returned, so that callers can compare by identity. */
     private parseIfChanged(entry: store.Entry, previous: ParsedEntry | undefined): ParsedEntry {
         if (previous?.entry === entry || previous?.entry.value === entry.value) {
-            return { entry, upstream: previous.upstream };
+            return { ...previous, entry };
+        }
+        const content = this.parseOrWarn(entry);
+        if (content === undefined) {
+            return { entry, upstream: undefined, sequence: undefined };
         }
-        const upstream = this.parseOrWarn(entry);
-        return { entry, upstream: isDeepStrictEqual(upstream, previous?.upstream) ? previous?.upstream : upstream };
+        const { sequence, ...upstream } = content;
+        if (previous !== undefined && isOutdated(content, previous)) {
+            this.options.context.logger.writeInfo("directory-entry-outdated", `ignoring an entry of ${entry.key} that was written before the one in use`, {
+                key: entry.key,
+                revision: entry.revision,
+                sequence,
+                knownSequence: previous.sequence,
+            });
+            return { ...previous, entry };
+        }
+        return { entry, upstream: isDeepStrictEqual(upstream, previous?.upstream) ? previous?.upstream : upstream, sequence };
     }
 
     /** Checks the missing entries with peers, one check at a time. Entries that go missing during a check are covered by one more check after it. */
@@ -211,7 +231,7 @@
         }
     }
 
-    private parseOrWarn(entry: store.Entry): DiscoveredUpstream | undefined {
+    private parseOrWarn(entry: store.Entry): EntryContent | undefined {
         const parsed = this.parseEntry(entry.key, entry.value);
         if (parsed.isErr()) {
             this.options.context.logger.writeWarning("directory-entry-malformed", `ignoring the malformed directory entry ${entry.key}: ${parsed.error.message}`, { key: entry.key, revision: entry.revision });
@@ -245,7 +265,13 @@
     }
 }
 
-function parseDefaultEntry(_key: string, text: string): Result<DiscoveredUpstream, errors.FleetError> {
+/** Returns whether an entry arrived after a later one of the same process of the upstream. Another process counts anew. */
+function isOutdated({ definition: { startedAtMs }, sequence }: EntryContent, previous: ParsedEntry): boolean {
+    const isSameProcess = startedAtMs !== undefined && startedAtMs === previous.upstream?.definition.startedAtMs;
+    return isSameProcess && sequence !== undefined && previous.sequence !== undefined && sequence < previous.sequence;
+}
+
+function parseDefaultEntry(_key: string, text: string): Result<EntryContent, errors.FleetError> {
     return boundedJson.parseJson(text, { maximumCharacters: maximumEntryCharacters }).andThen(value => {
         const parsed = entrySchema.safeParse(value);
         return parsed.success ? ok(parsed.data) : err(errors.createError("inputMalformed", parsed.error.issues.slice(0, maximumReportedIssues).map(issue => `${issue.path.join(".")}: ${issue.message}`).join("; ")));
--- a/src/discovery/index.ts
+++ b/src/discovery/index.ts
@@ -7,7 +7,7 @@
 import * as store from "../store/index.js";
 import * as directory from "./directory.js";
 
-export { type DiscoveredUpstream, type ParseEntry, parseEntryKey } from "./directory.js";
+export { type DiscoveredUpstream, type EntryContent, type ParseEntry, parseEntryKey } from "./directory.js";
 
 plugins.registerPlugin({
     name: "discovery",
--- a/test/discovery/directory.test.ts
+++ b/test/discovery/directory.test.ts
@@ -3,6 +3,7 @@
 import { err, ok } from "neverthrow";
 import * as promClient from "prom-client";
 import tap from "tap";
+import * as translate from "../../platform/translate.js";
 import * as directory from "../../src/discovery/directory.js";
 import * as clock from "../../src/kernel/clock.js";
 import * as errors from "../../src/kernel/errors.js";
@@ -24,10 +25,11 @@
 }
 
 /** Creates a directory with a fake store and a fake peer; the test decides when timers run and when the peer replies. */
-function createFixture(listings: unknown[]) {
+function createFixture(listings: unknown[], parseEntry?: directory.ParseEntry) {
     const tasks: (() => void)[] = [];
     const replies: (() => void)[] = [];
     const discovered: number[] = [];
+    const states: string[] = [];
     let watch: store.WatchRequest | undefined;
     const fake = {
         context: {
@@ -46,7 +48,12 @@
                 return () => {};
             },
         },
-        pool: { setDiscoveredUpstreams: (found: readonly unknown[]) => discovered.push(found.length) },
+        pool: {
+            setDiscoveredUpstreams: (found: readonly directory.DiscoveredUpstream[]) => {
+                discovered.push(found.length);
+                states.push(found.map(({ definition }) => definition.state).join(" "));
+            },
+        },
         mesh: {
             setHandler: () => {},
             setNoticeHandler: () => {},
@@ -55,9 +62,12 @@
             sendRequest: () => new Promise(resolve => replies.push(() => resolve(ok({ steadyMs: 60_000, entries: [] })))),
         },
     };
+    if (parseEntry !== undefined) {
+        fake.context.services.setService(directory.parseEntryKey, parseEntry);
+    }
     const created = new directory.UpstreamDirectory(fake as unknown as directory.CreateUpstreamDirectoryOptions);
     created.start();
-    return { tasks, replies, discovered, getWatch: () => watch! };
+    return { tasks, replies, discovered, states, getWatch: () => watch! };
 }
 
 const allEntries = Array.from({ length: entryCount }, (_, index) => createEntry(index));
@@ -104,3 +114,28 @@
     await runPending();
     t.equal(discovered.at(-1), entryCount - 2, "a malformed entry provides no upstream");
 });
+
+// Guards against an upstream that reported draining and gets requests again because a report from before arrived late.
+void tap.test("a late entry of the same process is ignored, and one of a new process is not", async t => {
+    const createWorkerEntry = (state: string, seq: number, born: number, revision: number): store.Entry => ({
+        key: "servers/u1",
+        value: JSON.stringify({ service: "desk", address: "127.0.0.1:1000", failureDomain: "north", slots: 3, state, seq, born }),
+        revision,
+    });
+    const { states, getWatch } = createFixture([ok({ entries: [createWorkerEntry("ready", 4, 1_000, 1)], revision: 1 })], translate.parseWorkerEntry);
+    const put = async (entry: store.Entry) => {
+        getWatch().onEvent({ kind: "put", entry });
+        await runPending();
+    };
+    await runPending();
+    await put(createWorkerEntry("draining", 6, 1_000, 2));
+    t.strictSame(states, ["live", "leaving"]);
+    await put(createWorkerEntry("ready", 5, 1_000, 3));
+    t.strictSame(states, ["live", "leaving"], "a late entry");
+    await put(createWorkerEntry("ready", 6, 1_000, 4));
+    await put(createWorkerEntry("ready", 5, 1_000, 5));
+    t.strictSame(states, ["live", "leaving", "live"], "a current one, then a late one");
+    await put(createWorkerEntry("draining", 7, 1_000, 6));
+    await put(createWorkerEntry("ready", 1, 2_000, 7));
+    t.strictSame(states, ["live", "leaving", "live", "leaving", "live"], "another process under the same identifier");
+});
--- a/test/platform/translate.test.ts
+++ b/test/platform/translate.test.ts
@@ -24,6 +24,7 @@
     t.strictSame(translate.parseWorkerEntry("servers/i-1", JSON.stringify(entry))._unsafeUnwrap(), {
         service: "desk",
         definition: { id: "i-1", address: "10.0.0.1:8080", failureDomain: "north", state: "live", slots: 3, startedAtMs: 1_700_000_000_000 },
+        sequence: 4,
     });
     t.equal(translate.parseWorkerEntry("servers/i-1", JSON.stringify({ ...entry, state: "draining" }))._unsafeUnwrap().definition.state, "leaving");
     const doTest = (change: object, expected: RegExp) => t.match(translate.parseWorkerEntry("servers/i-1", JSON.stringify({ ...entry, ...change }))._unsafeUnwrapErr().message, expected, JSON.stringify(change));
