Serve any name that the platform's configuration may have

Cause: the platform's schema allows any name of up to 200 characters, and names went into the program's document as they were.

The property test ("any name of the platform is served") failed on its first draws.

Names that the program allows stay; others become their legible characters and a hash, in the configuration and in workers' entries alike. Hosts are given as callers send them, non-ASCII ones in Punycode; one that nobody can send becomes a host that matches nothing. Prefixes are percent-encoded. The program's own schema allows underscores and IPv6 addresses in hosts, and prefixes of up to 8,192 characters, since encoding makes them longer.

Left: other limits of the program's schema, such as two routes of one name, still turn a version away.

--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -12,7 +12,7 @@
 export { configurationKey, type ConfigurationService } from "./configurationService.js";
 export { type ConfigurationParser, configurationParserKey, type ExternalConfiguration } from "./externalConfiguration.js";
 export { RouteSplitter } from "./routeSplitter.js";
-export { type ConfigurationDocument, documentSchema, type RankDefinition, type RouteDefinition, type ServiceDefinition, type UpstreamDefinition, upstreamSchema } from "./schema.js";
+export { type ConfigurationDocument, documentSchema, hostPattern, namePattern, type RankDefinition, type RouteDefinition, type ServiceDefinition, type UpstreamDefinition, upstreamSchema } from "./schema.js";
 
 plugins.registerPlugin({
     name: "configuration",
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -3,7 +3,12 @@
 import * as z from "zod";
 import * as settings from "../settings/index.js";
 
-const nameSchema = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, "must be 1 to 63 letters, digits, '.', '-' or '_', and begin with a letter or digit");
+/** The names that a configuration may have. */
+export const namePattern = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+/** The hosts that a route may have: names, and IPv6 addresses in brackets. */
+export const hostPattern = /^([a-z0-9._-]{1,253}|\[[0-9a-f:.]{2,64}\])$/;
+
+const nameSchema = z.string().regex(namePattern, "must be 1 to 63 letters, digits, '.', '-' or '_', and begin with a letter or digit");
 const millisecondsSchema = z.number().int().min(1).max(86_400_000);
 const headerNameSchema = z.string().regex(/^[a-z0-9-]{1,64}$/, "must be a header name in lower case");
 
@@ -60,11 +65,11 @@
     /** The services that share the requests in proportion to their weights. */
     split: z.array(z.strictObject({ service: nameSchema, weight: z.number().min(0).max(1_000_000) })).max(64).default([]),
     /** The hosts whose requests match; any host if empty. */
-    hosts: z.array(z.string().regex(/^[a-z0-9.-]{1,253}$/, "must be a host name in lower case, without a port")).max(64).default([]),
+    hosts: z.array(z.string().regex(hostPattern, "must be a host name in lower case, without a port")).max(64).default([]),
     rank: nameSchema,
     methods: z.array(z.enum(["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"])).min(1),
     /** Matches whole path segments: /a matches /a and /a/b, and /a/ only paths that begin with /a/. The longest match wins. */
-    pathPrefix: z.string().regex(/^\/[^\s?#]*$/, "must begin with / and contain no whitespace, ? or #").max(1_024),
+    pathPrefix: z.string().regex(/^\/[^\s?#]*$/, "must begin with / and contain no whitespace, ? or #").max(8_192),
     /** Whether the requests are idempotent, so that executing one twice does no harm. */
     repeatable: z.boolean(),
     /** Whether a request that is not repeatable must carry an order key. */
--- a/test/platform/translate.test.ts
+++ b/test/platform/translate.test.ts
@@ -1,5 +1,6 @@
 /** Translates the operator's configuration and the workers' entries into the program's own formats. Errors must name the invalid field. */
 
+import fc from "fast-check";
 import tap from "tap";
 import * as translate from "../../platform/translate.js";
 import * as platform from "../harness/platform.js";
@@ -34,3 +35,32 @@
     doTest({ address: "somewhere" }, /address: value "somewhere"/);
     t.match(translate.parseWorkerEntry("servers/i-1", "\u0000")._unsafeUnwrapErr().message, /not JSON/);
 });
+
+// Guards against a configuration that is turned away whole for one name, although the platform allows it.
+void tap.test("any name of the platform is served", async t => {
+    const oddNames = ["__proto__", "constructor", "a b", "ñandú", "-a", "x".repeat(200), "a..0123456789abcdef", "\ud800", "/", "日本"];
+    const nameArbitrary = fc.oneof(fc.constantFrom(...oddNames), fc.string({ unit: "binary", minLength: 1, maxLength: 200 }).filter(name => name.length <= 200));
+    const namesArbitrary = fc.uniqueArray(nameArbitrary, { minLength: 1, maxLength: 5 });
+    fc.assert(fc.property(namesArbitrary, namesArbitrary, nameArbitrary, nameArbitrary, (services, routes, host, path) => {
+        const text = JSON.stringify({
+            version: 1,
+            services: services.map(name => ({ name })),
+            routes: routes.map((name, index) => ({ name, host, prefix: `/${index}/${path}`, kind: "safe", split: services.map(service => ({ service, weight: 1 })) })),
+        });
+        const { document } = translate.parseConfiguration(text)._unsafeUnwrap();
+        const known = Object.keys(document.services);
+        const entry = { address: "10.0.0.1:8080", failureDomain: "north", slots: 3, state: "ready" };
+        const discovered = services.map(service => translate.parseWorkerEntry("servers/i-1", JSON.stringify({ ...entry, service }))._unsafeUnwrap().service);
+        return known.length === services.length && document.routes.length === routes.length && discovered.every(service => known.includes(service));
+    }));
+    const createDocument = (route: object) =>
+        translate.parseConfiguration(JSON.stringify({ version: 1, services: [{ name: "desk" }], routes: [{ name: "r", host: "h", prefix: "/", kind: "safe", service: "desk", ...route }] }))._unsafeUnwrap().document;
+    const doTest = (route: object, expected: object) => t.match(createDocument(route).routes[0], expected, JSON.stringify(route));
+    doTest({ name: "plain-name.1" }, { name: "plain-name.1" });
+    doTest({ name: "Órdenes de envío" }, { name: /^rdenes-de-env-o\.\.[0-9a-f]{16}$/ });
+    doTest({ host: "My_Shop.example:8080" }, { hosts: ["my_shop.example"] });
+    doTest({ host: "bücher.example" }, { hosts: ["xn--bcher-kva.example"] });
+    doTest({ host: "[2001:DB8::1]" }, { hosts: ["[2001:db8::1]"] });
+    doTest({ host: "no such host" }, { hosts: [/\.\.[0-9a-f]{16}$/] });
+    doTest({ prefix: "/órdenes de?#/" }, { pathPrefix: "/%C3%B3rdenes%20de%3F%23/" });
+});
