Limit the time for parsing upstreams' input in each turn of the event loop

Cause: timers run before input, but one poll of Node reads each connection up to 32 times 64 KiB before the next timer, and 64 KiB hold 10,900 pieces of some microseconds each: 131,100 pieces of eight connections in one turn. Change: connections to upstreams are sockets that pass a read of more than 4 KiB on in shares. The parsing, with the listeners that follow it, is timed. A turn has 20 ms; connections with more input wait for the next one, in turns, and are not read meanwhile. Shares adapt to what the input costs (4 ms each), so that cheap bodies pass in whole reads as before. Smaller reads are parsed at once. No upstream is failed for its pieces: one that writes byte by byte is slow, not wrong; a stream of lines beside eight such upstreams gets each line in the turn in which it was sent. Not covered: callers' connections, whose input Node's server parses without the socket's stream (docs/promises.md).

--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -56,6 +56,8 @@
     readonly request: types.RoutedRequest;
     /** The pool of keep-alive connections; undefined opens a connection for this attempt alone. */
     readonly agent: upstreamAgent.UpstreamAgent | undefined;
+    /** Creates the agent of a connection for this attempt alone; by default Node's. */
+    readonly createSeparateAgent?: () => http.Agent;
     /** Returns whether the upstream's connections may be reused now. */
     readonly isReusable?: () => boolean;
     readonly signal: AbortSignal;
@@ -214,7 +216,7 @@
         port,
         method: request.method,
         path: request.path,
-        agent: options.agent ?? false,
+        agent: options.agent ?? options.createSeparateAgent?.() ?? false,
         headers: [
             ...headers.listEndToEndHeaders(request.rawHeaders, ["content-length", service.deadlineHeader, ...identity.slice(0, 1)]),
             ...createBodyHeaders(request),
--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -71,6 +71,7 @@
         const result = await this.runAttempt({
             ...options,
             isReusable,
+            createSeparateAgent: () => this.agent.createSeparateAgent(),
             onCreated: sent => this.upstreamBytes.watchRequest(sent, slot.upstream),
             onSent: () => request.progress.setWait({ kind: "upstreamHead", attempt: current }),
             onNotice: notice => this.applyNotice(slot.upstream, notice),
--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -31,6 +31,7 @@
     create: context => {
         const mesh = context.services.getService(peers.meshKey);
         const agent = new upstreamAgent.UpstreamAgent({
+            clock: context.clock,
             keepAlive: true,
             maxFreeSockets: idleConnectionsPerUpstream,
             timeout: idleConnectionTimeoutMs,
--- a/src/requests/upstreamAgent.ts
+++ b/src/requests/upstreamAgent.ts
@@ -2,9 +2,11 @@
 
 import * as http from "node:http";
 import type * as net from "node:net";
-import type * as stream from "node:stream";
+import type * as clock from "../kernel/clock.js";
 import type * as pool from "../pool/index.js";
 import type * as connectionReuse from "./connectionReuse.js";
+import * as pacedSocket from "./pacedSocket.js";
+import * as readTurns from "./readTurns.js";
 
 /** How long a connection that is not reused stays open after its response, to detect further stray bytes. */
 const strayBytesWatchMs = 100;
@@ -18,24 +20,50 @@
 
 /** Options of an upstream agent. */
 export interface CreateUpstreamAgentOptions extends http.AgentOptions {
+    readonly clock: Pick<clock.Clock, "getNow">;
     /** Called when an upstream sends data that belongs to no request. */
     readonly onStrayBytes: (upstream: pool.Upstream, place: connectionReuse.StrayBytesPlace) => void;
 }
 
 interface Connection {
+    readonly socket: pacedSocket.PacedSocket;
     readonly upstream: pool.Upstream;
     readonly address: string;
     readonly isReusable: boolean;
     readonly onIdleData: (data: Buffer) => void;
 }
 
+/** An agent whose connections share the time for parsing. */
+class PacedAgent extends http.Agent {
+    constructor(private readonly readTurns: readTurns.ReadTurns, agentOptions: http.AgentOptions) {
+        super(agentOptions);
+    }
+
+    /** Called by Node to open a connection. */
+    override createConnection(options: net.NetConnectOpts): pacedSocket.PacedSocket {
+        const socket = new pacedSocket.PacedSocket({ ...options, readTurns: this.readTurns });
+        if (options.timeout !== undefined) {
+            socket.setTimeout(options.timeout);
+        }
+        return socket.connect(options);
+    }
+}
+
 /** An agent that closes connections on unexpected data and can use a separate connection for each request. */
-export class UpstreamAgent extends http.Agent {
+export class UpstreamAgent extends PacedAgent {
     private readonly connections = new WeakMap<net.Socket, Connection>();
+    private readonly turns: readTurns.ReadTurns;
     private connectionIdCount = 0;
 
     constructor(private readonly upstreamOptions: CreateUpstreamAgentOptions) {
-        super(upstreamOptions);
+        const turns = new readTurns.ReadTurns(upstreamOptions.clock);
+        super(turns, upstreamOptions);
+        this.turns = turns;
+    }
+
+    /** Creates an agent for a connection that is used for one request alone and not watched. */
+    createSeparateAgent(): http.Agent {
+        return new PacedAgent(this.turns, {});
     }
 
     /** Returns the identifier of a connection that no other request will use. */
@@ -50,8 +78,8 @@
     }
 
     /** Called by Node to open a connection. */
-    override createConnection(options: UpstreamRequestOptions & net.NetConnectOpts, callback?: (error: Error | null, stream: stream.Duplex) => void): net.Socket {
-        const socket = super.createConnection(options, callback) as net.Socket;
+    override createConnection(options: UpstreamRequestOptions & net.NetConnectOpts): pacedSocket.PacedSocket {
+        const socket = super.createConnection(options);
         const { upstream, connectionId } = options;
         // Data on an idle connection would be taken for the response to the next request.
         const onIdleData = (data: Buffer) => {
@@ -60,7 +88,7 @@
                 this.upstreamOptions.onStrayBytes(upstream, "idle");
             }
         };
-        this.connections.set(socket, { upstream, address: upstream.getAddress(), isReusable: connectionId === undefined, onIdleData });
+        this.connections.set(socket, { socket, upstream, address: upstream.getAddress(), isReusable: connectionId === undefined, onIdleData });
         return socket;
     }
 
@@ -71,7 +99,7 @@
         if (!isKept || connection === undefined || socket.destroyed) {
             return false;
         }
-        if (socket.readableLength > 0) {
+        if (connection.socket.hasUnreadInput()) {
             this.upstreamOptions.onStrayBytes(connection.upstream, "behindResponse");
             return false;
         }
--- a/test/harness/rawUpstream.ts
+++ b/test/harness/rawUpstream.ts
@@ -51,7 +51,7 @@
     const upstream = { getAddress: () => `127.0.0.1:${port}`, getId: () => "u1" } as pool.Upstream;
     const time = clock.createSystemClock();
     const timers = new loop.Loop({ clock: time, getLogger: () => undefined as never });
-    const agent = new upstreamAgent.UpstreamAgent({ keepAlive: true, onStrayBytes: () => {} });
+    const agent = new upstreamAgent.UpstreamAgent({ clock: time, keepAlive: true, onStrayBytes: () => {} });
     const sendAttempt = ({ requestId, isPooled, deadlineMs = defaultDeadlineMs }: SendOptions) => {
         const startedAt = time.getNow();
         return attempt.sendAttempt({
--- a/test/requests/upstreamAgent.test.ts
+++ b/test/requests/upstreamAgent.test.ts
@@ -3,6 +3,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import tap from "tap";
+import * as clock from "../../src/kernel/clock.js";
 import type * as pool from "../../src/pool/index.js";
 import * as upstreamAgent from "../../src/requests/upstreamAgent.js";
 import * as processes from "../harness/processes.js";
@@ -25,7 +26,7 @@
     const { port } = server.address() as net.AddressInfo;
     const upstream = { getAddress: () => `127.0.0.1:${port}` } as pool.Upstream;
     const seen: string[] = [];
-    const agent = new upstreamAgent.UpstreamAgent({ keepAlive: true, onStrayBytes: (_upstream, place) => seen.push(place) });
+    const agent = new upstreamAgent.UpstreamAgent({ clock: clock.createSystemClock(), keepAlive: true, onStrayBytes: (_upstream, place) => seen.push(place) });
     t.teardown(() => {
         agent.destroy();
         connections.forEach(socket => socket.destroy());
