Notice the caller's leaving on all of its pipelined requests

Callers saw: nothing; upstreams went on with a lookup whose caller had left (GONE), if it waited behind another response on its connection. Cause: Node.js emits no close event for a response that waits for an earlier one of its connection, and the signal of the caller's leaving waited for it. Change: the close of the connection counts too, as for the wait until a response is written.

--- a/src/callers/callerRequestHandler.ts
+++ b/src/callers/callerRequestHandler.ts
@@ -134,7 +134,7 @@
             trail: [],
             progress: inFlight.progress,
             reservation,
-            signal: responses.createDisconnectSignal(response),
+            signal: responses.createDisconnectSignal(request.socket, response),
         };
         inFlight.setRouted(routedRequest);
         await this.runRequest(inFlight, routedRequest, orderKeyText.value);
--- a/src/callers/responses.ts
+++ b/src/callers/responses.ts
@@ -115,10 +115,15 @@
     });
 }
 
-/** Creates a signal that aborts when the caller's connection closes before the response is complete. */
-export function createDisconnectSignal(response: http.ServerResponse): AbortSignal {
+/**
+ * Creates a signal that aborts when the caller's connection closes before the response is complete.
+ * @param socket - The caller's connection.
+ * @param response - The response to the caller.
+ */
+export function createDisconnectSignal(socket: net.Socket, response: http.ServerResponse): AbortSignal {
     const controller = new AbortController();
-    response.once("close", () => {
+    // A response that waits for an earlier one of its connection has no close event of its own.
+    void waitUntilWritten(socket, response).then(() => {
         if (!response.writableFinished) {
             controller.abort();
         }
--- a/test/integration.pipelinedRequests.test.ts
+++ b/test/integration.pipelinedRequests.test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against pipelined requests that are cut: a stopping instance announced the close of a connection in the response to the
- * first of several requests on it, so that the others, which an upstream was running, got no answer.
+ * first of several requests on it, so that the others, which an upstream was running, got no answer. Also against such requests
+ * that go on when their caller has left, because only the first of them noticed it.
  */
 
 import { once } from "node:events";
@@ -14,6 +15,8 @@
     { name: "look", prefix: "/look/", kind: "safe", service: "desk", timeoutMs: 12_000 },
 ];
 const workMs = 500;
+/** The platform sets this limit. */
+const leftToleranceMs = 500;
 /** More than the buffers of the kernel and the process hold of a response. */
 const unreadBytes = 16 * 1024 * 1024;
 
@@ -56,6 +59,10 @@
         this.socket.write(`POST /order/1 HTTP/1.1\r\nHost: ${platform.host}\r\nRequest-Id: ${requestId}\r\nDeadline-Ms: 4000\r\nExtra-Work-Ms: ${extraWorkMs}\r\nContent-Length: 1\r\n\r\nx`);
     }
 
+    close(): void {
+        this.socket.destroy();
+    }
+
     /** Waits until the connection is closed, and returns the identifiers of the requests that were answered with 200. */
     async readAnsweredIds(): Promise<readonly string[]> {
         await processes.waitFor("the connection closes", () => this.isClosed);
@@ -124,3 +131,21 @@
         t.equal(await instance.process.waitForExit(), 0);
     });
 });
+
+void tap.test("upstreams stop work on pipelined requests whose caller has left", async t => {
+    const testPlatform = await platform.startPlatform(1, routes);
+    t.teardown(() => testPlatform.stop());
+    const [worker] = testPlatform.workers;
+    await testPlatform.registerWorker(0, { slots: 10 });
+    await worker!.setBehaviour({ slots: 10, workMs: 10_000 });
+    const instance = await testPlatform.startInstance();
+    await platform.waitUntilReady(instance);
+    const caller = new PipeliningCaller(instance.addresses.caller);
+    await caller.waitUntilConnected();
+    ["left-1", "left-2"].forEach(requestId => caller.sendLookup(requestId, 100));
+    const countBusy = async () => (await worker!.getState<{ readonly busy: number; }>()).busy;
+    await processes.waitFor("the worker runs both", async () => await countBusy() === 2);
+    caller.close();
+    await new Promise(resolve => setTimeout(resolve, leftToleranceMs));
+    t.equal(await countBusy(), 0);
+});
