--- a/test/kernel/httpConnections.test.ts
+++ b/test/kernel/httpConnections.test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against connections that wait for their peers without a limit, or that hold up a stop, once their writing side is
- * closed, and against requests that are read although their connection is closed as idle.
+ * closed, against requests that are read although their connection is closed as idle, and against a stop that new connections
+ * hold up.
  */
 
 import * as http from "node:http";
@@ -16,6 +17,9 @@
 const bufferBytes = 12 * 1024 * 1024;
 /** Leaves time for bytes to arrive on a busy machine. */
 const arrivalMs = 100;
+/** More than one poll accepts, and far longer than connections are accepted. */
+const floodConnections = 50;
+const floodMs = 1_500;
 /** Headers of a request whose body does not end. */
 const unfinished = `Content-Length: ${1024 * 1024 * 1024}\r\n`;
 
@@ -47,7 +51,7 @@
         peers.forEach(socket => socket.destroy());
         connections.closeAll();
     });
-    return { connections, sendRequest, paths, serverSockets };
+    return { connections, sendRequest, paths, serverSockets, port };
 }
 
 function wait(delayMs: number): Promise<void> {
@@ -129,3 +133,24 @@
         t.strictSame(paths, ["/kept"], "the request does not begin");
     });
 });
+
+void tap.test("reading what has arrived ends while new connections keep coming", async t => {
+    const { connections, port } = await startServer(t);
+    let isOver = false;
+    const openNext = () => {
+        const socket = net.connect({ port, host: "127.0.0.1" });
+        socket.on("error", () => {});
+        socket.once("connect", () => {
+            socket.destroy();
+            if (!isOver) {
+                openNext();
+            }
+        });
+    };
+    Array.from({ length: floodConnections }, openNext);
+    await wait(arrivalMs);
+    const startedAt = performance.now();
+    const readMs = await Promise.race([connections.waitUntilRead().then(() => performance.now() - startedAt), wait(floodMs).then(() => floodMs)]);
+    isOver = true;
+    t.ok(readMs < floodMs, `ends after ${Math.round(readMs)} ms`);
+});
