Bound replies with chunks by the bytes that are sent

Callers would see: a new version in force up to a second later than it can be.

Cause: the bound of 100,000 counted characters before compression, so 412,000 characters that are 20,000 bytes compressed took five replies one after the other. Suspected, not shown by itself: each waits behind the other traffic of a link of 10 Mbit/s and for the relay's loop.

Evidence: test/configuration/peerSync.relayLink.test.ts, "a version that compresses well arrives in one reply", failed before. The other new test holds a version that compresses badly to the same bound; it held before too.

Change: 100,000 bytes as sent, compressed or not. Of the texts, 500,000 characters at most are compressed into a reply, and half as many chunks are tried until it fits.

--- a/src/configuration/chunkTransfer.ts
+++ b/src/configuration/chunkTransfer.ts
@@ -6,10 +6,12 @@
 import * as peers from "../peers/index.js";
 
 /**
- * Maximum length of the chunk texts in one reply; a single chunk may exceed it. A link of 10 Mbit/s carries ten such
- * replies within the default of `--peer-timeout-ms`, even if they are not compressed.
+ * Maximum size of one reply in bytes; a single chunk may exceed it. A link of 10 Mbit/s carries ten such replies within
+ * the default of `--peer-timeout-ms`.
  */
-const maximumReplyCharacters = 100_000;
+const maximumReplyBytes = 100_000;
+/** Maximum length of the chunk texts that are compressed into one reply; a single chunk may exceed it. It bounds the time of the compression. */
+const maximumDeflatedCharacters = 500_000;
 /** Number of replies that are kept for other peers. */
 const maximumKeptReplies = 64;
 /** Stands among the requested hashes if the sender reads compressed replies. Earlier versions skip it, as they do any hash that they do not hold. */
@@ -62,11 +64,8 @@
         if (data === undefined) {
             return err(createMalformedError("a request"));
         }
-        const hashes = this.chooseHashes(data.hashes);
-        if (!data.hashes.includes(compressionMarker)) {
-            return ok({ texts: this.listTexts(hashes) });
-        }
-        return ok({ deflated: this.getDeflated(hashes) });
+        const acceptsDeflated = data.hashes.includes(compressionMarker);
+        return ok(acceptsDeflated ? { deflated: this.createDeflated(data.hashes) } : { texts: this.listTexts(this.chooseHashes(data.hashes, maximumReplyBytes)) });
     }
 
     /** Drops the replies that are kept, because other chunks are requested from now on. */
@@ -74,7 +73,18 @@
         this.kept.clear();
     }
 
-    private chooseHashes(requested: readonly string[]): readonly string[] {
+    /** Compresses as many texts as fit into one reply. */
+    private createDeflated(requested: readonly string[]): Uint8Array {
+        let hashes = this.chooseHashes(requested, maximumDeflatedCharacters);
+        let deflated = this.getDeflated(hashes);
+        while (deflated.length > maximumReplyBytes && hashes.length > 1) {
+            hashes = hashes.slice(0, Math.ceil(hashes.length / 2));
+            deflated = this.getDeflated(hashes);
+        }
+        return deflated;
+    }
+
+    private chooseHashes(requested: readonly string[], maximumCharacters: number): readonly string[] {
         const texts = this.getTexts();
         const chosen: string[] = [];
         let characters = 0;
@@ -84,7 +94,7 @@
                 continue;
             }
             characters += text.length;
-            if (characters > maximumReplyCharacters && chosen.length > 0) {
+            if (characters > maximumCharacters && chosen.length > 0) {
                 break;
             }
             chosen.push(hash);
--- a/test/configuration/peerSync.relayLink.test.ts
+++ b/test/configuration/peerSync.relayLink.test.ts
@@ -8,6 +8,7 @@
 import tap from "tap";
 import * as checkDocument from "../../src/configuration/checkDocument.js";
 import * as chunks from "../../src/configuration/chunks.js";
+import * as chunkTransfer from "../../src/configuration/chunkTransfer.js";
 import * as configurationState from "../../src/configuration/configurationState.js";
 import * as peerSync from "../../src/configuration/peerSync.js";
 import * as errors from "../../src/kernel/errors.js";
@@ -15,6 +16,8 @@
 import * as settings from "../../src/settings/index.js";
 
 const routeCount = 1_400;
+/** Several replies are needed for so many. */
+const manyRoutesCount = 8_000;
 const followerCount = 10;
 /** The slowest links of the users' machines, 10 Mbit/s. */
 const linkBytesPerSecond = 1_250_000;
@@ -32,8 +35,8 @@
     readonly replyBytes: number[];
 }
 
-function createDocument() {
-    const routes = Array.from({ length: routeCount }, (_, index) => {
+function createDocument(count: number) {
+    const routes = Array.from({ length: count }, (_, index) => {
         const identifier = crypto.createHash("sha1").update(`route ${index}`).digest("hex").slice(0, 10);
         return {
             name: `r-${identifier}`,
@@ -58,12 +61,12 @@
 }
 
 /** Starts a relay on which a version with many routes is active. */
-function startRelay(): Network {
+function startRelay(count = routeCount): Network {
     const handlers = new Map<string, Handler>();
     const state = new configurationState.ConfigurationState();
     const relay = new peerSync.PeerSync(createOptions(state, { setHandler: (topic: string, handler: Handler) => handlers.set(topic, handler) }, () => {}));
     relay.start();
-    const texts = chunks.createChunks(createDocument());
+    const texts = chunks.createChunks(createDocument(count));
     const head = { version: 20, changeId: "growth", chunks: Object.fromEntries(texts.map(({ name, hash }) => [name, hash])), recent: [] };
     state.applyVersion(head, new Map(texts.map(({ hash, text }) => [hash, text])))._unsafeUnwrap();
     const replyBytes: number[] = [];
@@ -122,7 +125,7 @@
 });
 
 void tap.test("replies that are lost while a version is fetched: what has been received is not fetched again", async t => {
-    const network = startRelay();
+    const network = startRelay(manyRoutesCount);
     let chunkReplies = 0;
     // Of an attempt's replies, the head and the first one with chunks arrive in time.
     const follower = startFollower(async (topic, body) => {
@@ -151,3 +154,28 @@
     const largest = Math.max(...network.replyBytes);
     t.ok(largest * followerCount / linkBytesPerSecond < timeoutSeconds, `a reply of ${largest} bytes`);
 });
+
+void tap.test("a version that compresses well arrives in one reply: each reply waits behind the other traffic of the link", async t => {
+    const network = startRelay();
+    const follower = startFollower(network.sendRequest);
+    await follower.runCheck();
+    t.equal(follower.state.getVersion(), 20);
+    t.equal(network.replyBytes.length, 2, "the head, and one reply with all chunks");
+});
+
+void tap.test("a version that compresses badly arrives in replies that the link carries to ten instances in time", async t => {
+    const timeoutSeconds = settings.serveSettingsSchema.parse({}).peerTimeoutMs / 1_000;
+    const texts = Array.from({ length: 40 }, (_, index) => JSON.stringify(crypto.createHash("shake256", { outputLength: 20_000 }).update(`${index}`).digest("base64")));
+    const textsByHash = new Map(texts.map(text => [chunks.computeHash(text), text]));
+    const replies = new chunkTransfer.ChunkReplies(() => textsByHash);
+    const missing = new Set(textsByHash.keys());
+    while (missing.size > 0) {
+        const reply = replies.createReply(chunkTransfer.createRequest([...missing]))._unsafeUnwrap();
+        const { length } = wire.encodeFrame({ type: "reply", id: 1, body: reply });
+        t.ok(length * followerCount / linkBytesPerSecond < timeoutSeconds, `a reply of ${length} bytes`);
+        const received = chunkTransfer.parseReply(reply)._unsafeUnwrap().filter(text => missing.delete(chunks.computeHash(text)));
+        if (!t.ok(received.length > 0, "each reply has texts that were missing")) {
+            break;
+        }
+    }
+});
