--- a/test/harness/platform.ts
+++ b/test/harness/platform.ts
@@ -8,6 +8,8 @@
 import * as standIns from "./standIns.js";
 
 const program = process.env.TEST_PLATFORM_PROGRAM ?? "dist/agatebend-platform.cjs";
+/** The command that starts Node.js, such as `taskset -c 6,7 node`. */
+const [nodeCommand = process.execPath, ...nodeCommandArguments] = process.env.TEST_PLATFORM_NODE?.split(" ") ?? [];
 /** The host name that the routes of the test configuration match. */
 export const host = "shop.example";
 
@@ -60,7 +62,7 @@
     }
 
     private createProcess(): processes.TestProcess {
-        return new processes.TestProcess(process.execPath, [...this.nodeArguments, program, "serve"], { AGATEBEND_CONFIG: this.addresses.settingsFile });
+        return new processes.TestProcess(nodeCommand, [...nodeCommandArguments, ...this.nodeArguments, program, "serve"], { AGATEBEND_CONFIG: this.addresses.settingsFile });
     }
 
     /** Sends a request to the callers' port, with a random request identifier by default. */
--- a/test/soak/faultInjection.ts
+++ b/test/soak/faultInjection.ts
@@ -15,6 +15,8 @@
 const restartMs = 500;
 /** The time in which a process must end after SIGTERM. The platform kills it after this time. */
 const stopTimeLimitMs = 6_000;
+/** The interval between two stops that overlap. */
+const overlappingStopIntervalMs = 1_300;
 /** The fraction of instances that the variant "some" affects. */
 const someFraction = 0.5;
 /** The fraction of requests that fail at a failing worker, and the fraction of faulty responses of a worker that spoils responses. */
@@ -43,7 +45,7 @@
     const runners: Readonly<Record<plan.FaultKind, () => Promise<void>>> = {
         workerFails: () => runOnWorker(options, { failPart: failureFraction, failure: variant }, { failPart: 0 }),
         workerSpoils: () => runOnWorker(options, { spoilPart: faultyFraction, spoiled: variant }, { spoilPart: 0, spoiled: "none" }),
-        workerSlow: () => runOnWorker(options, { workMs: systemUnderTest.workMs * slowFactor }, { workMs: systemUnderTest.workMs }),
+        workerSlow: () => runOnWorker(options, { workMs: options.system.traffic.workMs * slowFactor }, { workMs: options.system.traffic.workMs }),
         workSlows: () => runSlowSpell(options),
         workerLeaves: () => options.system.runExclusively(`w${getWorkerIndex(options)}`, () => runWorkerRemoval(options)),
         workerRestarts: () => options.system.runExclusively(`w${getWorkerIndex(options)}`, () => registerAgain(options)),
@@ -59,9 +61,10 @@
         instanceKilled: () => runOnInstances(options, runKill),
         instanceStops: () => runOnInstances(options, runPlannedStop, "planned"),
         instancesRoll: () => runRollingRestart(options),
+        instancesOverlap: () => runOverlappingStops(options),
         clockSteps: () => runOnInstances(options, async ({ instance }) => instance.process.sendSignal("SIGUSR2")),
         configurationStorm: () => runStorm(options),
-        configurationSpoiled: () => store.setBehaviour({ put: { "op/config": variant === "older" ? systemUnderTest.createConfiguration(1) : { version: "none" } } }),
+        configurationSpoiled: () => store.setBehaviour({ put: { "op/config": variant === "older" ? systemUnderTest.createConfiguration(1, options.system.traffic.routes) : { version: "none" } } }),
         settingsReread: () => runOnInstances(options, async ({ instance }) => instance.process.sendSignal("SIGHUP"), "none"),
     };
     await runners[kind]();
@@ -114,7 +117,7 @@
 async function runOnStore(options: RunFaultOptions, change: object): Promise<void> {
     const { system, checker, fault: { durationMs } } = options;
     await system.runExclusively("store", async () => {
-        const endDisturbance = checker.addDisturbance("all", performance.now());
+        const endDisturbance = checker.addDisturbance("all", performance.now(), "store");
         await system.platform.store.setBehaviour(change);
         await callers.wait(durationMs);
         await system.platform.store.setBehaviour({ failure: "none", delayMs: 0, lostReplies: 0 });
@@ -140,7 +143,7 @@
         reset: { action: "reset" },
         slow: { delayMs: slowLinkMs },
     };
-    const proxy: standIns.StandIn = soakInstance[link];
+    const proxy: standIns.StandIn = soakInstance[link]!;
     await proxy.setBehaviour(changes[variant]!);
     await callers.wait(durationMs);
     // Connections that lost bytes cannot continue, so they are reset.
@@ -175,6 +178,16 @@
     }
 }
 
+/** Stops and restarts instances, each some time after the one before, which has not ended by then. */
+async function runOverlappingStops(options: RunFaultOptions): Promise<void> {
+    await Promise.all(
+        listTargets(options).map(async (soakInstance, index) => {
+            await callers.wait(index * overlappingStopIntervalMs);
+            await runOnInstance(options, soakInstance, runPlannedStop, "planned");
+        }),
+    );
+}
+
 async function runFreeze({ instance }: systemUnderTest.SoakInstance, { fault: { durationMs } }: RunFaultOptions): Promise<void> {
     instance.process.sendSignal("SIGSTOP");
     await callers.wait(durationMs);
@@ -194,6 +207,7 @@
     instance.process.sendSignal("SIGTERM");
     const status = await instance.process.waitForExit(stopTimeLimitMs);
     endSpell?.();
+    checker.addProcessEnd(instance.id, performance.now(), status);
     if (status !== 0) {
         checker.addFinding("a planned stop ends by itself", `${instance.id} ended with ${status} after SIGTERM`);
         await instance.process.stop();
--- a/test/soak/invariants.test.ts
+++ b/test/soak/invariants.test.ts
@@ -8,7 +8,7 @@
 
 void tap.test("the invariant checks of a soak", async t => {
     const answered = (status: number, matchesRequest = true): invariants.RequestRecord["outcome"] => ({ kind: "answered", status, matchesRequest });
-    const closed: invariants.RequestRecord["outcome"] = { kind: "closed", reason: "reset" };
+    const closed: invariants.RequestRecord["outcome"] = { kind: "closed", reason: "reset", isReused: false, status: 0, bytes: 0 };
     const doTest = (name: string, expected: readonly string[], { outcomes, runs = 1, isOrder = true, durationMs = 100, unreadMs = 0, disturbance, steadySince = Infinity }: {
         readonly outcomes: readonly invariants.RequestRecord["outcome"][];
         readonly runs?: number;
@@ -23,7 +23,7 @@
         if (disturbance !== undefined) {
             checker.addDisturbance(disturbance.instance, 5_000, disturbance.kind)(disturbance.endedAt);
         }
-        outcomes.forEach((outcome, index) => checker.addRequest({ requestId: `r${index}`, instance: "i1", isOrder, deadlineMs, sentAt, sentEntirelyAt: sentAt, unreadMs, endedAt: sentAt + durationMs, outcome }));
+        outcomes.forEach((outcome, index) => checker.addRequest({ requestId: `r${index}`, instance: "i1", route: "order", isOrder, deadlineMs, sentAt, sentEntirelyAt: sentAt, unreadMs, endedAt: sentAt + durationMs, outcome }));
         const findings = checker.listFindings({
             runs: new Map(outcomes.flatMap((_, index) => runs === 0 ? [] : [[`r${index}`, Array.from({ length: runs }, () => ({ startedAt: sentAt, endedAt: sentAt + durationMs, isAnswered: true }))]])),
             steadySince,
@@ -54,7 +54,7 @@
 
 void tap.test("requests that a planned stop cuts", async t => {
     const stoppedAt = 10_000;
-    const doTest = (name: string, isFound: boolean, { sentAt = 1_000, sentEntirelyAt = sentAt, endedAt = 5_600, requestDeadlineMs = 12_000, runs, isAlsoKilled = false }: {
+    const doTest = (name: string, isFound: boolean, { sentAt = 1_000, sentEntirelyAt = sentAt, endedAt = 5_600, requestDeadlineMs = 12_000, runs, isAlsoKilled = false, isStoreDown = false }: {
         /** Times are in milliseconds after SIGTERM. */
         readonly sentAt?: number;
         readonly sentEntirelyAt?: number;
@@ -62,22 +62,27 @@
         readonly requestDeadlineMs?: number;
         readonly runs: readonly (readonly [startedAt: number, endedAt: number, isAnswered?: boolean])[];
         readonly isAlsoKilled?: boolean;
+        readonly isStoreDown?: boolean;
     }) => {
         const checker = new invariants.InvariantChecker();
         checker.addDisturbance("i1", stoppedAt, "planned")(stoppedAt + 7_000);
         if (isAlsoKilled) {
             checker.addDisturbance("i1", stoppedAt + 5_000)(stoppedAt + 7_000);
         }
+        if (isStoreDown) {
+            checker.addDisturbance("all", stoppedAt, "store")(stoppedAt + 7_000);
+        }
         checker.addRequest({
             requestId: "r",
             instance: "i1",
+            route: "look",
             isOrder: false,
             deadlineMs: requestDeadlineMs,
             sentAt: stoppedAt + sentAt,
             sentEntirelyAt: stoppedAt + sentEntirelyAt,
             unreadMs: 0,
             endedAt: stoppedAt + endedAt,
-            outcome: { kind: "closed", reason: "reset" },
+            outcome: { kind: "closed", reason: "reset", isReused: false, status: 0, bytes: 0 },
         });
         const workerRuns = runs.map(([startedAt, runEndedAt, isAnswered = false]) => ({ startedAt: stoppedAt + startedAt, endedAt: stoppedAt + runEndedAt, isAnswered }));
         const findings = checker.listFindings({ runs: new Map(runs.length === 0 ? [] : [["r", workerRuns]]), steadySince: Infinity });
@@ -97,6 +102,8 @@
     doTest("a late request whose deadline was not reached", true, { sentAt: 3_001, endedAt: 5_000, requestDeadlineMs: 2_000, runs: [[3_001, 5_000]] });
     doTest("a request that did not run", false, { sentAt: 3_001, runs: [] });
     doTest("a late request to an instance that is killed during its stop", false, { sentAt: 3_001, runs: [[3_001, 5_600]], isAlsoKilled: true });
+    doTest("a late request while the store is down", true, { sentAt: 3_001, runs: [[3_001, 5_600]], isStoreDown: true });
+    doTest("a late request while the store is down and the instance is killed during its stop", false, { sentAt: 3_001, runs: [[3_001, 5_600]], isStoreDown: true, isAlsoKilled: true });
 });
 
 void tap.test("a fault plan", async t => {
--- a/test/soak/invariants.ts
+++ b/test/soak/invariants.ts
@@ -2,11 +2,11 @@
 
 /**
  * A period in which time limits do not apply to an instance, or to all instances.
- * A planned disturbance, such as a stop, must still not interrupt requests.
+ * A planned disturbance, such as a stop, must still not interrupt requests, nor must one of the store alone.
  */
 interface Disturbance {
     readonly instance: string;
-    readonly kind: "planned" | "unplanned";
+    readonly kind: "planned" | "store" | "unplanned";
     readonly from: number;
     to: number;
 }
@@ -27,8 +27,9 @@
 export interface RequestRecord {
     readonly requestId: string;
     readonly instance: string;
+    readonly route: string;
     readonly isOrder: boolean;
-    /** The request's deadline after `sentAt`, equal to the timeout of its route. */
+    /** The request's deadline after `sentAt` or the timeout of its route, whichever is shorter. */
     readonly deadlineMs: number;
     /** When its first byte was sent. */
     readonly sentAt: number;
@@ -40,7 +41,7 @@
     readonly outcome:
         | { readonly kind: "answered"; readonly status: number; readonly matchesRequest: boolean; }
         /** The connection closed before the response was complete. */
-        | { readonly kind: "closed"; readonly reason: string; }
+        | { readonly kind: "closed"; readonly reason: string; readonly isReused: boolean; readonly status: number; readonly bytes: number; }
         | { readonly kind: "refusedConnection"; }
         | { readonly kind: "gaveUp"; };
 }
@@ -51,6 +52,13 @@
     readonly detail: string;
 }
 
+/** The end of a process after a planned stop, by its exit status or the signal that ended it. */
+interface ProcessEnd {
+    readonly instance: string;
+    readonly at: number;
+    readonly status: number | string;
+}
+
 /** Time limits apply again this long after the end of a disturbance. The platform sets this limit. */
 const stableWindowMs = 3_000;
 /** Statuses that guarantee that the request was not executed. */
@@ -76,6 +84,7 @@
     private readonly disturbances: Disturbance[] = [];
     private readonly requests: RequestRecord[] = [];
     private readonly findings: Finding[] = [];
+    private readonly processEnds: ProcessEnd[] = [];
 
     /** Begins a period in which time limits do not apply to an instance, or to "all". The returned function ends it. */
     addDisturbance(instance: string, now: number, kind: Disturbance["kind"] = "unplanned"): (endedAt: number) => void {
@@ -96,6 +105,11 @@
         this.requests.push(request);
     }
 
+    /** Records that the process of a stopped instance ended, or was still running after the time limit. */
+    addProcessEnd(instance: string, at: number, status: number | string): void {
+        this.processEnds.push({ instance, at, status });
+    }
+
     /** Records a violation. */
     addFinding(guarantee: string, detail: string): void {
         this.findings.push({ guarantee, detail });
@@ -138,6 +152,10 @@
         return this.disturbances.filter(candidate => (candidate.instance === everyInstance || candidate.instance === instance) && candidate.from <= to && candidate.to + stableWindowMs >= from);
     }
 
+    private listStops(instance: string, from: number, to: number): readonly Disturbance[] {
+        return this.listDisturbances(instance, from, to).filter(({ kind }) => kind === "planned");
+    }
+
     private listUndisturbed(): readonly RequestRecord[] {
         return this.requests.filter(({ instance, sentAt, endedAt }) => this.isUndisturbed(instance, sentAt, endedAt));
     }
@@ -155,7 +173,7 @@
     private checkLostRequests(runs: ReadonlyMap<string, readonly Run[]>): void {
         const closed = this.requests.filter(({ requestId, outcome }) => outcome.kind === "closed" && runs.has(requestId));
         const classified = closed.map(candidate => ({ ...candidate, disturbanceKinds: this.listDisturbances(candidate.instance, candidate.sentAt, candidate.endedAt).map(({ kind }) => kind) }));
-        const cut = classified.filter(candidate => candidate.disturbanceKinds.length > 0 && candidate.disturbanceKinds.every(kind => kind === "planned") && !this.isExcused(candidate, runs.get(candidate.requestId)!));
+        const cut = classified.filter(candidate => candidate.disturbanceKinds.includes("planned") && !candidate.disturbanceKinds.includes("unplanned") && !this.isExcused(candidate, runs.get(candidate.requestId)!));
         if (cut.length > 0) {
             this.addFinding("a planned stop cuts nothing", cut.map(request => this.formatCutRequest(request, runs.get(request.requestId)!)).join(", "));
         }
@@ -172,21 +190,23 @@
         if (endedAt - sentAt >= deadlineMs) {
             return true;
         }
-        return this.listDisturbances(instance, sentAt, endedAt).some(({ from: stoppedAt }) => {
+        return this.listStops(instance, sentAt, endedAt).some(({ from: stoppedAt }) => {
             const lastWorkAt = stoppedAt + graceMs * (1 - lastWorkFraction);
             const isAtWork = runs.some(run => run.startedAt <= stoppedAt + graceMs && run.endedAt >= lastWorkAt);
             return sentEntirelyAt <= stoppedAt + earlyRequestMs && isAtWork && !runs.some(run => run.isAnswered && run.endedAt < lastWorkAt);
         });
     }
 
-    private formatCutRequest({ requestId, instance, deadlineMs, sentAt, sentEntirelyAt, endedAt, unreadMs, outcome }: RequestRecord, runs: readonly Run[]): string {
-        const [stop] = this.listDisturbances(instance, sentAt, endedAt).slice(-1);
-        const formatTime = (time: number) => Math.round(time - (stop?.from ?? 0));
+    private formatCutRequest({ requestId, instance, route, deadlineMs, sentAt, sentEntirelyAt, endedAt, unreadMs, outcome }: RequestRecord, runs: readonly Run[]): string {
+        const stoppedAt = this.listStops(instance, sentAt, endedAt).at(-1)?.from ?? 0;
+        const formatTime = (time: number) => Math.round(time - stoppedAt);
         const runTimes = runs.map(run => `${formatTime(run.startedAt)} to ${formatTime(run.endedAt)}${run.isAnswered ? " (answered)" : ""}`).join(" and ");
-        const reason = outcome.kind === "closed" ? outcome.reason : outcome.kind;
-        return `${requestId} at ${instance} (ms after SIGTERM: sent ${formatTime(sentAt)} to ${formatTime(sentEntirelyAt)}, ran ${runTimes}, closed ${formatTime(endedAt)}: ${reason}; deadline ${deadlineMs} ms, left unread ${
-            Math.round(unreadMs)
-        } ms)`;
+        const processEnd = this.processEnds.find(({ instance: ended, at }) => ended === instance && at >= stoppedAt);
+        const closed = outcome.kind === "closed" ? `${outcome.reason}, ${outcome.isReused ? "kept" : "new"} connection, status ${outcome.status}, ${outcome.bytes} body bytes` : outcome.kind;
+        const ended = processEnd === undefined ? "unknown" : `${formatTime(processEnd.at)} with ${processEnd.status}`;
+        return `${requestId} (${route}) at ${instance} (ms after SIGTERM: sent ${formatTime(sentAt)} to ${formatTime(sentEntirelyAt)}, ran ${runTimes}, closed ${
+            formatTime(endedAt)
+        }: ${closed}; process ended ${ended}; deadline ${deadlineMs} ms, left unread ${Math.round(unreadMs)} ms)`;
     }
 
     private checkRecovery(steadySince: number): void {
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -20,6 +20,7 @@
     instanceKilled: ["one", "some", "all"],
     instanceStops: ["one", "some"],
     instancesRoll: ["some", "someSlow"],
+    instancesOverlap: ["some"],
     clockSteps: ["forward", "back"],
     configurationStorm: [""],
     configurationSpoiled: ["older", "malformed"],
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -8,6 +8,7 @@
 import * as faultInjection from "./faultInjection.js";
 import * as plan from "./plan.js";
 import * as systemUnderTest from "./systemUnderTest.js";
+import * as traffic from "./traffic.js";
 
 /** The seed, length and size of a soak. */
 export interface RunSoakOptions {
@@ -18,6 +19,7 @@
     readonly instances?: number;
     readonly workers?: number;
     readonly callers?: number;
+    readonly traffic?: traffic.TrafficName;
     /** The directory for the logs of a soak with violations; no logs are kept if undefined. */
     readonly logs?: string;
 }
@@ -42,14 +44,22 @@
 
 /** Starts the system, runs the load and the fault plan, and returns the violations. */
 export async function runSoak(options: RunSoakOptions): Promise<SoakResult> {
-    const { seed, lengthMs, kinds, instances = 5, workers = 10, callers: callerCount = 48 } = options;
+    const { seed, lengthMs, kinds, instances = 5, workers = 10, callers: callerCount = 48, traffic: trafficName = "quick" } = options;
     const faults = plan.createPlan({ seed, lengthMs, kinds });
     const checker = new invariants.InvariantChecker();
-    const system = await systemUnderTest.startSystem({ instances, workers });
+    const system = await systemUnderTest.startSystem({ instances, workers, hasProxies: faults.some(({ kind }) => kind === "storeCut" || kind === "peersCut"), traffic: traffic.traffics[trafficName] });
     const runState = { isOver: false };
     const loadCallers = Array.from(
         { length: callerCount },
-        (_, index) => new callers.Caller({ name: `c${index}`, getRandom: plan.createRandomGenerator(seed + index + 1), checker, getInstances: () => system.getInstances(), getSlowFraction: instance => system.getSlowFraction(instance) }),
+        (_, index) =>
+            new callers.Caller({
+                name: `c${index}`,
+                getRandom: plan.createRandomGenerator(seed + index + 1),
+                checker,
+                getInstances: () => system.getInstances(),
+                getSlowFraction: instance => system.getSlowFraction(instance),
+                traffic: system.traffic,
+            }),
     );
     const background = [...loadCallers.map(caller => caller.run()), runConfigurationChanges(system, checker, runState), ...system.instances.map(({ instance }) => runVersionProbes(system, instance, checker, runState))];
     await Promise.all(faults.map(async fault => {
--- a/test/soak/systemUnderTest.ts
+++ b/test/soak/systemUnderTest.ts
@@ -7,16 +7,9 @@
 import * as standIns from "../harness/standIns.js";
 import type * as standInWorker from "../standins/worker.js";
 import type * as invariants from "./invariants.js";
+import type * as traffic from "./traffic.js";
 
 const domains = ["north", "south", "east"];
-/** The time that a worker takes for a request. */
-export const workMs = 40;
-/** Routes with a long timeout. */
-export const longTimeoutMs = 12_000;
-const longRoutes: readonly platform.TestRoute[] = [
-    { name: "audit", prefix: "/audit/", kind: "safe", service: "desk", timeoutMs: longTimeoutMs },
-    { name: "dispatch", prefix: "/dispatch/", kind: "unsafe", service: "desk", timeoutMs: longTimeoutMs },
-];
 /** The fraction of late requests whose work is slow outside and during a spell of slow work. All requests of a route together must stay quick. */
 const usualSlowFraction = 0.01;
 const spellSlowFraction = 0.8;
@@ -25,11 +18,11 @@
 /** The number of previous versions whose marker routes a configuration keeps. */
 const previousMarkerCount = 3;
 
-/** An instance, the proxy between it and the store, and the proxy in front of its peer port. */
+/** An instance, the proxy between it and the store, and the proxy in front of its peer port, if there are proxies. */
 export interface SoakInstance {
     readonly instance: platform.PlatformInstance;
-    readonly storeLink: standIns.StandIn;
-    readonly peerLink: standIns.StandIn;
+    readonly storeLink: standIns.StandIn | undefined;
+    readonly peerLink: standIns.StandIn | undefined;
 }
 
 /** The processes of a soak, with locks that keep faults from overlapping on the same target. */
@@ -39,7 +32,7 @@
     private readonly slowSpells = new Set<{ readonly instance: string | undefined; }>();
     private readonly locked = new Set<string>();
 
-    constructor(readonly platform: platform.TestPlatform, readonly instances: readonly SoakInstance[]) {}
+    constructor(readonly platform: platform.TestPlatform, readonly instances: readonly SoakInstance[], readonly traffic: traffic.Traffic) {}
 
     /** Runs a task while it holds the lock of a worker, an instance or the store. Does nothing if the lock is taken. */
     async runExclusively(resource: string, task: () => Promise<void>): Promise<void> {
@@ -81,7 +74,7 @@
     async writeConfiguration(): Promise<void> {
         this.lastWrittenVersion += 1;
         const version = this.lastWrittenVersion;
-        await this.platform.store.setBehaviour({ put: { "op/config": createConfiguration(version) } });
+        await this.platform.store.setBehaviour({ put: { "op/config": createConfiguration(version, this.traffic.routes) } });
         if (version > this.newestVersion.version) {
             this.newestVersion = { version, acceptedAt: performance.now() };
         }
@@ -110,7 +103,7 @@
     /** Ends all processes. */
     async stop(): Promise<void> {
         await this.platform.stop();
-        await Promise.all(this.instances.flatMap(({ storeLink, peerLink }) => [storeLink.process.stop(), peerLink.process.stop()]));
+        await Promise.all(this.instances.flatMap(({ storeLink, peerLink }) => [storeLink, peerLink]).map(async link => await link?.process.stop()));
     }
 }
 
@@ -120,39 +113,49 @@
 }
 
 /** Creates a configuration with marker routes for its own version and the versions directly before it. */
-export function createConfiguration(version: number): object {
+export function createConfiguration(version: number, routes: readonly platform.TestRoute[]): object {
     const markers = Array.from({ length: previousMarkerCount + 1 }, (_, age) => version - age).filter(markedVersion => markedVersion > firstVersion);
     return platform.createPlatformConfiguration(version, [
         ...platform.defaultRoutes,
-        ...longRoutes,
+        ...routes,
         ...markers.map((markedVersion): platform.TestRoute => ({ name: `marker-${markedVersion}`, prefix: `/marker-${markedVersion}/`, kind: "safe", service: "desk", timeoutMs: 1_000 })),
     ]);
 }
 
-/** Starts a system with the given numbers of instances and workers, and waits until all instances are ready. */
-export async function startSystem({ instances, workers }: { readonly instances: number; readonly workers: number; }): Promise<SystemUnderTest> {
+/** The size and the traffic of a system. */
+export interface StartSystemOptions {
+    readonly instances: number;
+    readonly workers: number;
+    /** Whether there are proxies that faults of the network need. */
+    readonly hasProxies: boolean;
+    readonly traffic: traffic.Traffic;
+}
+
+/** Starts a system and waits until all instances are ready. */
+export async function startSystem({ instances, workers, hasProxies, traffic: sentTraffic }: StartSystemOptions): Promise<SystemUnderTest> {
     const testPlatform = await platform.startPlatform(workers);
-    await testPlatform.store.setBehaviour({ put: { "op/config": createConfiguration(firstVersion) } });
+    await testPlatform.store.setBehaviour({ put: { "op/config": createConfiguration(firstVersion, sentTraffic.routes) } });
     await Promise.all(testPlatform.workers.map(async (worker, index) => {
-        await worker.setBehaviour({ workMs });
+        await worker.setBehaviour({ workMs: sentTraffic.workMs });
         await testPlatform.registerWorker(index, createPlacement(index));
     }));
     const soakInstances = await Promise.all(Array.from({ length: instances }, async (_, index) => {
         const peer = `127.0.0.1:${await ports.findFreePort()}`;
-        const [storeLink, peerLink] = await Promise.all([standIns.startFaultProxy(testPlatform.store.getAddress()), standIns.startFaultProxy(peer)]);
+        const [storeLink, peerLink] = hasProxies ? await Promise.all([standIns.startFaultProxy(testPlatform.store.getAddress()), standIns.startFaultProxy(peer)]) : [];
         const flags = {
             "peer-listen": peer,
-            "peer-advertise": peerLink.getAddress(),
-            store: `kv://${storeLink.getAddress()}`,
+            ...peerLink === undefined ? {} : { "peer-advertise": peerLink.getAddress() },
+            ...storeLink === undefined ? {} : { store: `kv://${storeLink.getAddress()}` },
             "store-timeout-ms": 1_000,
             "entries-ttl-ms": 1_000,
             "entries-grace-ms": 2_000,
-            "drain-timeout-ms": 5_600,
+            "drain-timeout-ms": 30_000,
+            "kill-after-s": 6,
             "stale-after-ms": 86_400_000,
         };
         const instance = await testPlatform.startInstance(domains[index % domains.length], flags, ["--require", path.resolve("test/standins/clock.cjs")]);
         return { instance, storeLink, peerLink };
     }));
     await Promise.all(soakInstances.map(({ instance }) => platform.waitUntilReady(instance)));
-    return new SystemUnderTest(testPlatform, soakInstances);
+    return new SystemUnderTest(testPlatform, soakInstances, sentTraffic);
 }
