Date a stop back also when its signal is handled some time after the delayed check

Cause: its log has a stall of 2,981 ms, and the start of the shutdown 279 ms after the check that noticed it, with delayMs 0. After a stall the timers run first, then signals are handled. On a busy machine the timers took more than the 50 ms within which the signal was taken to belong to the stall, so that the stop was timed from its handling.

Ruled out: a signal that came after the stall. The orders came in 5.35 s after it, while the port was open, which closes 3 s after the signal if the stop is timed from it.

Change: the watch records the last check after which the event loop has polled. Signals that had arrived by then have been handled; one that is handled now came later. The 50 ms are counted from the end of that poll.

Test: test/kernel/stallWatch.test.ts; its case of a signal that is handled some time after the delayed check failed before.

--- a/src/kernel/stallWatch.ts
+++ b/src/kernel/stallWatch.ts
@@ -18,12 +18,17 @@
     readonly clock: clock.Clock;
     readonly loop: Pick<loop.Loop, "scheduleRepeatedly">;
     readonly logger: Pick<logger.Logger, "writeWarning">;
+    /** Runs a task once the event loop has polled for input; `setImmediate` by default. */
+    readonly scheduleAfterPoll?: (task: () => void) => void;
 }
 
 /** Checks periodically whether the event loop runs, and logs long stalls. */
 export class StallWatch {
     private lastCheckAt: number | undefined;
-    private previousCheckAt: number | undefined;
+    /** The last two checks after which the event loop has polled, and the end of the last poll. Signals that had arrived by such a check have been handled. */
+    private lastPolledCheckAt: number | undefined;
+    private previousPolledCheckAt: number | undefined;
+    private lastPollAt = -Infinity;
     private lastDelayMs = 0;
     private longestStallMs = 0;
 
@@ -32,6 +37,7 @@
     /** Starts the periodic check. */
     start(): void {
         this.lastCheckAt = this.options.clock.getNow();
+        this.lastPolledCheckAt = this.lastCheckAt;
         this.options.loop.scheduleRepeatedly(checkIntervalMs, () => this.runCheck());
     }
 
@@ -47,10 +53,14 @@
     /**
      * Returns the earliest time at which a signal that is handled now may have arrived, in monotonic milliseconds: now
      * while the process keeps running, otherwise the last check before the stall, at most one second ago.
+     * @remarks After a stall, timers run before signal handlers, so the delayed check may have run already.
      */
     getEarliestArrivalAt(): number {
         const now = this.options.clock.getNow();
-        return Math.max(this.getLastTimelyCheckAt() ?? now, now - maximumBackdatingMs);
+        // Another thread may have received the signal and resume later than the event loop.
+        const isJustResumed = this.lastDelayMs > lateThresholdMs && now - this.lastPollAt <= lateThresholdMs;
+        const checkedAt = (isJustResumed ? this.previousPolledCheckAt : this.lastPolledCheckAt) ?? now;
+        return now - checkedAt > checkIntervalMs + lateThresholdMs ? Math.max(checkedAt, now - maximumBackdatingMs) : now;
     }
 
     /** Returns the longest stall since the last call, in milliseconds, and begins anew. */
@@ -61,26 +71,22 @@
     }
 
     private runCheck(): void {
+        const { clock: systemClock, scheduleAfterPoll = setImmediate } = this.options;
+        const checkedAt = systemClock.getNow();
         this.lastDelayMs = this.computeDelayMs();
         this.longestStallMs = Math.max(this.longestStallMs, this.lastDelayMs);
-        this.previousCheckAt = this.lastCheckAt;
-        this.lastCheckAt = this.options.clock.getNow();
+        this.lastCheckAt = checkedAt;
+        scheduleAfterPoll(() => {
+            this.previousPolledCheckAt = this.lastPolledCheckAt;
+            this.lastPolledCheckAt = checkedAt;
+            this.lastPollAt = systemClock.getNow();
+        });
         if (this.lastDelayMs >= loggedStallMs) {
             const gapMs = Math.round(this.lastDelayMs + checkIntervalMs);
             this.options.logger.writeWarning("process-stood-still", `the process was stalled for ${gapMs} ms`, { gapMs });
         }
     }
 
-    /** Returns when the last check before a present stall ran; undefined without a stall. */
-    private getLastTimelyCheckAt(): number | undefined {
-        if (this.computeDelayMs() > lateThresholdMs) {
-            return this.lastCheckAt;
-        }
-        // The same stall delayed the signal only if that is handled right after the check.
-        const isCheckRecent = this.options.clock.getNow() - (this.lastCheckAt ?? 0) <= lateThresholdMs;
-        return isCheckRecent && this.lastDelayMs > lateThresholdMs ? this.previousCheckAt : undefined;
-    }
-
     /** Returns by how much the next check is overdue. */
     private computeDelayMs(): number {
         const { lastCheckAt } = this;
--- a/test/kernel/stallWatch.test.ts
+++ b/test/kernel/stallWatch.test.ts
@@ -13,20 +13,26 @@
         const time = clock.createVirtualClock();
         const logged: unknown[] = [];
         let runCheck = () => {};
+        let polledTasks: (() => void)[] = [];
         const scheduleRepeatedly = (_: number, task: () => void) => {
             runCheck = task;
             return () => {};
         };
-        const watch = new stallWatch.StallWatch({ clock: time, loop: { scheduleRepeatedly }, logger: { writeWarning: (event, _, values) => void logged.push([event, values]) } });
-        return { time, logged, watch, runCheck: () => runCheck() };
+        const watch = new stallWatch.StallWatch({ clock: time, loop: { scheduleRepeatedly }, logger: { writeWarning: (event, _, values) => void logged.push([event, values]) }, scheduleAfterPoll: task => void polledTasks.push(task) });
+        const runPoll = () => {
+            polledTasks.forEach(task => task());
+            polledTasks = [];
+        };
+        return { time, logged, watch, runCheck: () => runCheck(), runPoll };
     };
 
     await t.test("the earliest arrival of a signal", async t => {
-        const { time, watch, runCheck } = createWatch();
+        const { time, watch, runCheck, runPoll } = createWatch();
         const getDelay = () => time.getNow() - watch.getEarliestArrivalAt();
         watch.start();
         time.addTime(250);
         runCheck();
+        runPoll();
         time.addTime(290);
         t.equal(getDelay(), 0, "is now while the process keeps running");
         time.addTime(410);
@@ -34,11 +40,17 @@
         runCheck();
         time.addTime(10);
         t.equal(getDelay(), 710, "is the check before the stall if the delayed check ran first");
-        time.addTime(50);
+        time.addTime(100);
+        t.equal(getDelay(), 810, "is the same check as long as the event loop has not polled");
+        runPoll();
+        time.addTime(40);
+        t.equal(getDelay(), 850, "is the same check shortly after the poll");
+        time.addTime(20);
         t.equal(getDelay(), 0, "is now if the stall was over before");
-        time.addTime(190);
+        time.addTime(80);
         runCheck();
         t.equal(getDelay(), 0, "is now once a check ran in time");
+        runPoll();
         time.addTime(4_000);
         t.equal(getDelay(), 1_000, "is at most one second ago");
     });
