Take nothing that may end after the kill when a signal has waited for long

Cause: the process stood still for 3,782 ms, by its log, and the signal came in that time. A stop is dated back by 1 s at most, and its end by 0.55 s, because a signal that came at the end of a long stall must not cut short what is in flight. What is still taken went by the same end, which then lies after the kill.

Change: requests are taken, and sent after a wait, only if they end in time for a signal that came at the earliest possible moment; estimates of latencies count until shortly before the entries of that moment expire. What is in flight goes by the later end as before. instance-draining gets maximumDelayMs.

Ruled out: dating the whole stop back further. The platform excuses only what is cut in the last sixth of its grace.

Test: test/integration.lateSignal.test.ts stalls a process for 2.5 s at its signal.

Seen beside it, and not changed: with a stall of 0.8 s the same file expects that the process ends before the kill, with 150 ms to spare.

--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -108,15 +108,15 @@
      * @param shutdown - The shutdown, with its end.
      */
     async drain(shutdown: plugins.Shutdown): Promise<void> {
-        const { requestedAt, startedAt, endsAt } = shutdown;
+        const { requestedAt, earliestRequestAt, startedAt, endsAt, admitsUntil } = shutdown;
         const { context: { settings: { entriesTtlMs, entriesGraceMs }, clock }, mesh, executor } = this.options;
-        const entriesExpireAt = requestedAt + entriesTtlMs + entriesGraceMs;
+        const entriesExpireMs = entriesTtlMs + entriesGraceMs;
         // Peers list this instance until now, also if the signal was handled late.
-        const portClosesAt = Math.min(endsAt, Math.max(entriesExpireAt, startedAt + entriesTtlMs));
+        const portClosesAt = Math.min(endsAt, Math.max(requestedAt + entriesExpireMs, startedAt + entriesTtlMs));
         mesh.setMember({ state: "draining" });
         this.drainLog.start(shutdown);
         // Where the port stays open to the end, half of the shutdown is left for requests that take longer than estimated.
-        executor.setShutdownTimes({ endsAt, estimatesEndAt: Math.min(entriesExpireAt - estimatesLeadMs, (startedAt + endsAt) / 2) });
+        executor.setShutdownTimes({ endsAt: admitsUntil, estimatesEndAt: Math.min(earliestRequestAt + entriesExpireMs - estimatesLeadMs, (startedAt + endsAt) / 2) });
         this.connections.startClosing();
         await this.wait(Math.max(0, portClosesAt - clock.getNow()));
         await this.connections.waitUntilRead();
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -143,7 +143,7 @@
     private async drainAndStop(): Promise<void> {
         const { clock: systemClock, loop: timers, logger: log, settings: serveSettings } = this.context;
         const startedAt = systemClock.getNow();
-        const current = shutdown.computeShutdown({ settings: serveSettings, requestedAt: this.stalls.getEarliestArrivalAt(), startedAt });
+        const current = shutdown.computeShutdown({ settings: serveSettings, requestedAt: this.stalls.getAssumedArrivalAt(), earliestRequestAt: this.stalls.getEarliestArrivalAt(), startedAt });
         const draining = await this.listDrainingPlugins();
         const timeoutMs = Math.round(current.endsAt - startedAt);
         this.state = "draining";
@@ -152,6 +152,7 @@
             timeoutMs,
             killAfterMs,
             delayMs: Math.round(startedAt - current.requestedAt),
+            maximumDelayMs: Math.round(startedAt - current.earliestRequestAt),
             stalledMs: Math.round(this.stalls.getCheckDelayMs()),
         });
         this.stalls.takeLongestStallMs();
--- a/src/kernel/plugins.ts
+++ b/src/kernel/plugins.ts
@@ -7,12 +7,16 @@
 export interface Shutdown {
     /** When it was requested, in monotonic milliseconds; before `startedAt` if the process was stalled meanwhile. */
     readonly requestedAt: number;
+    /** The earliest time at which it may have been requested, in monotonic milliseconds; before `requestedAt` after a long stall. */
+    readonly earliestRequestAt: number;
     /** When its first step ran, in monotonic milliseconds. */
     readonly startedAt: number;
     /** When the shutdown ends and what is still in flight is cut, in monotonic milliseconds. */
     readonly endsAt: number;
     /** Until when responses that upstreams have sent are still read, if a stall delayed the end. */
     readonly readsEndAt: number;
+    /** When requests that are still taken must end, in monotonic milliseconds; before `endsAt` if the platform may kill the process before that. */
+    readonly admitsUntil: number;
     /** When connections on which a response is still being written are closed at the latest. */
     readonly closesAt: number;
     /** When the process exits at the latest. */
--- a/src/kernel/shutdown.ts
+++ b/src/kernel/shutdown.ts
@@ -24,18 +24,22 @@
     readonly settings: Pick<settings.ServeSettings, "drainTimeoutMs" | "killAfterS">;
     /** When the shutdown was requested. */
     readonly requestedAt: number;
+    /** The earliest time at which it may have been requested. */
+    readonly earliestRequestAt: number;
     /** When its first step ran. */
     readonly startedAt: number;
 }
 
 /** Computes when a graceful shutdown ends. The platform counts the time until it kills the process from the request. */
-export function computeShutdown({ settings: { drainTimeoutMs, killAfterS }, requestedAt, startedAt }: ComputeShutdownOptions): plugins.Shutdown {
+export function computeShutdown({ settings: { drainTimeoutMs, killAfterS }, requestedAt, earliestRequestAt, startedAt }: ComputeShutdownOptions): plugins.Shutdown {
+    const servedMs = killAfterS === 0 ? Infinity : killAfterS * millisecondsPerSecond - exitReserveMs;
     const countedFrom = Math.max(requestedAt, startedAt - maximumShorteningMs);
-    const latestEndAt = killAfterS === 0 ? Infinity : Math.max(startedAt, countedFrom + killAfterS * millisecondsPerSecond - exitReserveMs);
-    const endsAt = Math.min(startedAt + drainTimeoutMs, latestEndAt);
+    const endsAt = Math.min(startedAt + drainTimeoutMs, Math.max(startedAt, countedFrom + servedMs));
+    // What is in flight may finish as long as the process lives, but nothing is taken that the platform might cut.
+    const admitsUntil = Math.min(endsAt, earliestRequestAt + servedMs);
     // A delay that did not shorten the shutdown has used up a part of the reserve.
     const readsEndAt = Math.max(endsAt, endsAt + exitMs - (countedFrom - requestedAt));
-    return { requestedAt, startedAt, endsAt, readsEndAt, closesAt: endsAt + finalResponsesMs, exitsAt: endsAt + exitMs };
+    return { requestedAt, earliestRequestAt, startedAt, endsAt, admitsUntil, readsEndAt, closesAt: endsAt + finalResponsesMs, exitsAt: endsAt + exitMs };
 }
 
 /** A plug-in that is to drain. */
--- a/src/kernel/stallWatch.ts
+++ b/src/kernel/stallWatch.ts
@@ -52,7 +52,7 @@
 
     /**
      * Returns the earliest time at which a signal that is handled now may have arrived, in monotonic milliseconds: now
-     * while the process keeps running, otherwise the last check before the stall, at most one second ago.
+     * while the process keeps running, otherwise the last check before the stall.
      * @remarks After a stall, timers run before signal handlers, so the delayed check may have run already.
      */
     getEarliestArrivalAt(): number {
@@ -60,7 +60,12 @@
         // Another thread may have received the signal and resume later than the event loop.
         const isJustResumed = this.lastDelayMs > lateThresholdMs && now - this.lastPollAt <= lateThresholdMs;
         const checkedAt = (isJustResumed ? this.previousPolledCheckAt : this.lastPolledCheckAt) ?? now;
-        return now - checkedAt > checkIntervalMs + lateThresholdMs ? Math.max(checkedAt, now - maximumBackdatingMs) : now;
+        return now - checkedAt > checkIntervalMs + lateThresholdMs ? checkedAt : now;
+    }
+
+    /** Returns when such a signal is assumed to have arrived: at the earliest time, at most one second ago. */
+    getAssumedArrivalAt(): number {
+        return Math.max(this.getEarliestArrivalAt(), this.options.clock.getNow() - maximumBackdatingMs);
     }
 
     /** Returns the longest stall since the last call, in milliseconds, and begins anew. */
--- a/src/requests/drainAdmission.ts
+++ b/src/requests/drainAdmission.ts
@@ -5,7 +5,7 @@
 
 /** The times of a graceful shutdown, in monotonic milliseconds. */
 export interface ShutdownTimes {
-    /** When the shutdown ends and what is in flight is cut. */
+    /** When the requests that are taken must end. */
     readonly endsAt: number;
     /**
      * Until when a request is admitted because its route is usually quick enough. An estimate is wrong at times. Callers that
--- a/test/integration.lateSignal.test.ts
+++ b/test/integration.lateSignal.test.ts
@@ -1,13 +1,15 @@
 /**
  * Guards against a shutdown that counts its time from when a process that had been short of processor time came to handle the
- * signal: it took requests after its port should have closed, and the platform killed it before its own end.
+ * signal: it took requests after its port should have closed, or requests that could end only after the platform would kill it.
  */
 
 import tap from "tap";
 import * as platform from "./harness/platform.js";
 
 const killAfterS = 6;
-const stallMs = 800;
+/** A stall at the signal that the shutdown makes up for, and one after which the platform kills the process before its end. */
+const shortStallMs = 800;
+const longStallMs = 2_500;
 /** Later than the lifetime of entries answers and their grace, counted from the signal. */
 const lateRequestMs = 3_200;
 const usualWorkMs = 100;
@@ -15,7 +17,8 @@
 const slowWorkMs = 4_000;
 const settleMs = 500;
 
-void tap.test("a planned stop whose signal is handled late", async t => {
+/** Stalls a process at its signal, sends an order late, whose work is slow this time, and returns how the process ended. */
+async function runLateSignal(t: Pick<typeof tap, "teardown" | "ok">, stallMs: number): Promise<number | string> {
     const testPlatform = await platform.startPlatform(2, [
         { name: "look", prefix: "/look/", kind: "safe", service: "vault", timeoutMs: 12_000 },
         { name: "order", prefix: "/order/", kind: "unsafe", service: "desk", timeoutMs: 12_000 },
@@ -46,11 +49,23 @@
     await wait(lateRequestMs - (performance.now() - signalledAt));
     await worker!.setBehaviour({ workMs: slowWorkMs });
     const late = await send("/order/1", "late");
-    t.equal(await testProcess.waitForExit(), 0, "the process ends before the platform kills it");
+    const status = await testProcess.waitForExit();
     clearTimeout(killed);
     await inFlight;
     const { runs } = await worker!.getState<{ readonly runs: Readonly<Record<string, number>>; }>();
-    t.ok(runs.late === undefined || late.isComplete, `a request that was sent ${lateRequestMs} ms after the signal and ran is answered: ${late.status}`);
+    t.ok(
+        runs.late === undefined || late.isComplete,
+        `a request that was sent ${lateRequestMs} ms after the signal and ran is answered: ${late.status}; ${JSON.stringify(instance.listLogs("instance-draining").map(({ context }) => context))}`,
+    );
+    return status;
+}
+
+void tap.test("a planned stop whose signal is handled late", async t => {
+    t.equal(await runLateSignal(t, shortStallMs), 0, "the process ends before the platform kills it");
+});
+
+void tap.test("a planned stop whose signal is handled later than it can make up for takes nothing that the platform may cut", async t => {
+    t.equal(await runLateSignal(t, longStallMs), "SIGKILL", "a request that was in flight before the signal is not cut early");
 });
 
 void tap.test("a stall that was over before the signal does not shorten the shutdown", async t => {
--- a/test/kernel/stallWatch.test.ts
+++ b/test/kernel/stallWatch.test.ts
@@ -52,7 +52,8 @@
         t.equal(getDelay(), 0, "is now once a check ran in time");
         runPoll();
         time.addTime(4_000);
-        t.equal(getDelay(), 1_000, "is at most one second ago");
+        t.equal(getDelay(), 4_000, "is the last check, however long ago");
+        t.equal(time.getNow() - watch.getAssumedArrivalAt(), 1_000, "is assumed to be at most one second ago");
     });
     await t.test("before the start", async t => {
         const { time, watch } = createWatch();
