Send lookups that may have run again while a stop leaves time for it

Callers saw: 502 in a planned stop for a lookup that there was time to send again. An upstream had hung with it, and the next one refused it once. Cause: holds requests that wait to be sent again to the rule for late ones. For those that may have run there is no refusal as not executed to be had; giving them up early only loses the answer. Change: for requests that may have run, and for the rest of a body, the estimate decides until the end of the shutdown whether there is time.

--- a/src/requests/drainAdmission.ts
+++ b/src/requests/drainAdmission.ts
@@ -20,11 +20,14 @@
     readonly deadlineAt: number;
     /** The 99th percentile of the route's recent latencies; undefined without samples. */
     readonly usualLatencyMs: number | undefined;
+    /** Whether an upstream may have run the request, so that it can no longer be refused as not executed. */
+    readonly mayHaveRun: boolean;
 }
 
 /** Returns by when a request can be expected to end, in monotonic milliseconds. Without samples, only its deadline counts. */
-export function computeExpectedEnd({ now, deadlineAt, usualLatencyMs }: RequestTimes, { estimatesEndAt }: ShutdownTimes): number {
-    const usualEnd = usualLatencyMs === undefined || now >= estimatesEndAt ? deadlineAt : now + usualLatencyMs * expectedMultiple;
+export function computeExpectedEnd({ now, deadlineAt, usualLatencyMs, mayHaveRun }: RequestTimes, { estimatesEndAt }: ShutdownTimes): number {
+    const isEstimated = mayHaveRun || now < estimatesEndAt;
+    const usualEnd = usualLatencyMs === undefined || !isEstimated ? deadlineAt : now + usualLatencyMs * expectedMultiple;
     return Math.min(deadlineAt, usualEnd);
 }
 
--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -99,14 +99,18 @@
         this.shutdownTimes = times;
     }
 
-    /** Returns the error of a request that has not been sent and cannot be expected to end before the shutdown does; undefined if it can, or if none has begun. */
-    getDrainError({ route, deadlineAt }: Pick<types.RoutedRequest, "route" | "deadlineAt">): errors.FleetError | undefined {
+    /**
+     * Returns the error of a request that cannot be expected to end before the shutdown does; undefined if it can, or if none has begun.
+     * @param request - The request, which is not being sent.
+     * @param mayHaveRun - Whether an upstream may have run it.
+     */
+    getDrainError({ route, deadlineAt }: Pick<types.RoutedRequest, "route" | "deadlineAt">, mayHaveRun = false): errors.FleetError | undefined {
         const { shutdownTimes, context: { clock } } = this;
         if (shutdownTimes === undefined) {
             return undefined;
         }
         const now = clock.getNow();
-        const times = { now, deadlineAt, usualLatencyMs: this.latencies.getQuantile(route.service, route.name, usualLatencyQuantile) };
+        const times = { now, deadlineAt, mayHaveRun, usualLatencyMs: this.latencies.getQuantile(route.service, route.name, usualLatencyQuantile) };
         return drainAdmission.isAdmitted(times, shutdownTimes) ? undefined : { ...errors.createError("draining", drainAdmission.formatRejection(times, shutdownTimes)), retryAfterMs: 0 };
     }
 
@@ -142,14 +146,15 @@
      * takes no retry from the budget.
      * @param attemptMs - How long the attempt took. A request is not sent again with less time left than that or than the
      * route's median latency, because an attempt in flight at the deadline leaves the outcome unknown.
+     * @param mayHaveRun - Whether an upstream may have run an earlier attempt.
      */
-    async waitForRetry(request: types.RoutedRequest, kind: "shed" | "unreachable", attemptMs: number): Promise<boolean> {
+    async waitForRetry(request: types.RoutedRequest, kind: "shed" | "unreachable", attemptMs: number, mayHaveRun = false): Promise<boolean> {
         const { route, deadlineAt, signal } = request;
         const { clock, loop } = this.context;
         const budget = this.getRetryBudget(route.service);
         const medianMs = this.latencies.getQuantile(route.service, route.name, 0.5) ?? 0;
         const requiredMs = Math.max(medianMs, attemptMs) + retryCheckIntervalMs;
-        while (!signal.aborted && this.getDrainError(request) === undefined && deadlineAt - clock.getNow() >= requiredMs) {
+        while (!signal.aborted && this.getDrainError(request, mayHaveRun) === undefined && deadlineAt - clock.getNow() >= requiredMs) {
             if (kind === "unreachable" || budget.acquireRetry()) {
                 return true;
             }
--- a/src/requests/runWithRetries.ts
+++ b/src/requests/runWithRetries.ts
@@ -65,6 +65,11 @@
     }
 }
 
+/** Returns whether an upstream may have run the request or the caller has a part of the response, so that it cannot be refused as not executed. */
+function hasBegun({ isContinuation, sentAttempts }: Progress): boolean {
+    return isContinuation || sentAttempts > 0;
+}
+
 function createErrorSummary(error: errors.FleetError, progress: Progress): ExecutionSummary {
     const { outcome, status } = errors.getErrorDefinition(error);
     return { outcome, status, attempts: progress.attempts, error, body: "none" };
@@ -75,7 +80,7 @@
     const service = request.route.service;
     while (true) {
         const canRetry = progress.sentAttempts + 1 < request.route.maximumAttempts && executor.getRetryBudget(service).getRemainingRetries() >= 1;
-        const slot = await executor.acquireSlot(request, progress.excludedUpstreamIds, { isRetry: progress.attempts > 0, canRetry, mayHaveRun: progress.isContinuation || progress.sentAttempts > 0 });
+        const slot = await executor.acquireSlot(request, progress.excludedUpstreamIds, { isRetry: progress.attempts > 0, canRetry, mayHaveRun: hasBegun(progress) });
         if (slot.isErr()) {
             return { kind: "error", error: createUnansweredError(slot.error, progress.sentAttempts) };
         }
@@ -166,7 +171,7 @@
 ): Promise<OpenResult | "retry"> {
     slot.release(kind);
     progress.excludedUpstreamIds.add(slot.upstream.getId());
-    if (await executor.waitForRetry(request, kind, executor.context.clock.getNow() - slot.attempt.startedAt)) {
+    if (await executor.waitForRetry(request, kind, executor.context.clock.getNow() - slot.attempt.startedAt, hasBegun(progress))) {
         return "retry";
     }
     const message = `the upstream did not accept the request: ${reason}`;
