Accept a change while the version it is based on is written back

Operators saw: a change was refused with 409 (another change was accepted first) although none was. The store had just been restored from a backup.

Cause: the instances then write the version in force back. Where that happens between a change's reading and its compare-and-swap, the swap meets the change's own base and was taken for another change.

That all three instances had version 11 by then, and no other change was made, is what the test's steps before it require, so the conflict can only have been with the write-back; its message was not printed.

Change: a conflict with the head that the change follows, by version and change identifier, repeats the swap with the revision of that head. Another change of the same version is still a conflict.

--- a/src/configuration/changeWriter.ts
+++ b/src/configuration/changeWriter.ts
@@ -174,23 +174,29 @@
     }
 
     private async writeHead(head: chunks.ConfigurationHead, revision: number): Promise<Result<void, errors.FleetError>> {
-        const swap = { key: this.getHeadKey(), expectedRevision: revision, value: JSON.stringify(head) };
+        const key = this.getHeadKey();
+        let expectedRevision = revision;
         for (let attempt = 0; attempt < maximumSwapAttempts; attempt += 1) {
-            const result = await this.options.store.swapEntry(swap);
+            const result = await this.options.store.swapEntry({ key, expectedRevision, value: JSON.stringify(head) });
             if (result.isErr()) {
                 continue;
             }
             if (result.value.kind === "swapped") {
                 return ok(undefined);
             }
-            // The conflict may be with an earlier attempt by this writer whose response was lost.
-            return resolveConflict(result.value.current, head);
+            const { current } = result.value;
+            if (current === undefined || !isBase(current, head)) {
+                // The conflict may be with an earlier attempt by this writer whose response was lost.
+                return resolveConflict(current, head);
+            }
+            // Another instance has written the base version back to a store that had lost it.
+            expectedRevision = current.revision;
         }
         const readBack = await this.readHead();
         if (readBack.isOk() && findRecentChange([readBack.value.head], head.changeId) !== undefined) {
             return ok(undefined);
         }
-        if (readBack.isOk() && readBack.value.revision !== revision) {
+        if (readBack.isOk() && readBack.value.revision !== expectedRevision) {
             return err(errors.createConflictError(readBack.value.head?.version ?? 0));
         }
         return err(errors.createError("changeUnresolved"));
@@ -206,6 +212,12 @@
     return parsed.value === undefined ? err(errors.createError("storeUnavailable", "the configuration head in the store is malformed")) : ok(parsed.value);
 }
 
+/** Returns whether a stored head is the version that a new head follows. */
+function isBase(entry: store.Entry, { version, recent }: chunks.ConfigurationHead): boolean {
+    const stored = parseHead(entry.value).unwrapOr(undefined);
+    return stored?.version === version - 1 && recent.some(change => change.version === stored.version && change.changeId === stored.changeId);
+}
+
 function resolveConflict(current: store.Entry | undefined, head: chunks.ConfigurationHead): Result<void, errors.FleetError> {
     const parsed = current === undefined ? undefined : parseHead(current.value).unwrapOr(undefined);
     if (parsed !== undefined && findRecentChange([parsed], head.changeId)?.version === head.version) {
