Keep the logs of a soak whose fault does not end as planned

The exception ended the run without its logs, and its processes went on until the time-out of the file, so that the failure cannot be traced.

Change: such an exception is a finding of its own; the run goes on and its logs are kept. Nothing passes that failed before.

--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -62,10 +62,11 @@
             }),
     );
     const background = [...loadCallers.map(caller => caller.run()), runConfigurationChanges(system, checker, runState), ...system.instances.map(({ instance }) => runVersionProbes(system, instance, checker, runState))];
-    await Promise.all(faults.map(async fault => {
+    const runFault = async (fault: plan.Fault) => {
         await callers.wait(fault.atMs);
-        await faultInjection.runFault({ system, checker, fault });
-    }));
+        await faultInjection.runFault({ system, checker, fault }).catch((thrown: Error) => checker.addFinding("a fault ends as planned", `${plan.formatFault(fault)}: ${thrown.message}`));
+    };
+    await Promise.all(faults.map(runFault));
     await callers.wait(recoveryMs);
     const steadySince = performance.now();
     const arrivalsBefore = await countArrivals(system);
