Keep a configuration with new things in it, and admit requests by workspace keys

Keys were passed on, and unknown keys were served.

The configuration has workspaces with digests of keys, a rank and a quota; a request shows a key unless its route is public (401 otherwise), the key is removed and the workspace's name is set on the way to the upstream. Keys are checked again after the body was read, when a request is queued, and for queued requests with each version.

Result: unit tests and the decoder properties pass; the property found a chunk "null" that made the new code throw, which is fixed.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -8,6 +8,7 @@
 import * as serviceRegistry from "../kernel/serviceRegistry.js";
 import type * as pool from "../pool/index.js";
 import * as scheduler from "./scheduler.js";
+import * as workspaces from "../workspaces/index.js";
 import type * as types from "./types.js";
 
 const queueTimeBucketsSeconds = [0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
@@ -54,6 +55,10 @@
     /** Waits for a slot at an upstream of the request's service. An error means that no attempt was made. */
     acquireSlot(request: types.SlotRequest): Promise<Result<types.Slot, errors.FleetError>> {
         const serviceScheduler = this.schedulers.get(request.service);
+        const withdrawnKeyError = workspaces.getWithdrawnKeyError(this.options.configuration.getCurrent(), request);
+        if (withdrawnKeyError !== undefined) {
+            return Promise.resolve(err(withdrawnKeyError));
+        }
         // The request's route may go to another service by now.
         return serviceScheduler?.acquireSlot(request) ?? Promise.resolve(err(errors.createError("overloaded", `the service ${request.service} is no longer configured`)));
     }
@@ -78,13 +83,16 @@
         return Object.fromEntries([...this.schedulers].map(([service, serviceScheduler]) => [service, serviceScheduler.getDump()]));
     }
 
-    private setConfiguration({ document, retiredFeatures }: configuration.CompiledConfiguration): void {
+    private setConfiguration(compiled: configuration.CompiledConfiguration): void {
+        const { document, retiredFeatures } = compiled;
         const currentRanksJson = JSON.stringify(document.ranks);
         const haveRanksChanged = currentRanksJson !== this.ranksJson;
         this.ranksJson = currentRanksJson;
         for (const [service, serviceScheduler] of this.schedulers) {
             serviceScheduler.rejectQueued(request =>
-                request.feature !== undefined && retiredFeatures.has(request.feature) ? errors.createError("featureRetired", `the feature ${request.feature} was retired while the request waited`) : undefined
+                request.feature !== undefined && retiredFeatures.has(request.feature)
+                    ? errors.createError("featureRetired", `the feature ${request.feature} was retired while the request waited`)
+                    : workspaces.getWithdrawnKeyError(compiled, request)
             );
             if (!Object.hasOwn(document.services, service) || haveRanksChanged) {
                 serviceScheduler.rejectQueued(() => errors.createError("overloaded", "the service's ranks changed while the request waited"));
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -9,6 +9,10 @@
     readonly route: string;
     readonly rankIndex: number;
     readonly feature: string | undefined;
+    /** The name of the request's workspace; empty if it has none. */
+    readonly workspace: string;
+    /** The digest of the key that the request was admitted by; undefined if it needed none. */
+    readonly keyDigest: string | undefined;
     /** Whether the request may safely run twice, as configured for its route. */
     readonly isRepeatable: boolean;
     /** Whether the request can be retried if this attempt fails. */
--- a/src/callers/callerRequestHandler.ts
+++ b/src/callers/callerRequestHandler.ts
@@ -7,6 +7,7 @@
 import type * as kernel from "../kernel/kernel.js";
 import type * as orders from "../orders/index.js";
 import * as requests from "../requests/index.js";
+import * as workspaces from "../workspaces/index.js";
 import * as responses from "./responses.js";
 import * as callerMetrics from "./callerMetrics.js";
 import type * as entriesHandler from "./entriesHandler.js";
@@ -99,10 +100,16 @@
             await this.rejectRequest(request, response, orderKeyText.value, parsed.error);
             return;
         }
-        const { feature, workspace, requestId } = parsed.value;
-        const route = this.routeSplitter.chooseRoute(parsed.value.route);
+        const caller = workspaces.resolveCaller(compiled, parsed.value.route, requests.getHeaderValues(request.rawHeaders, "authorization"));
+        if (caller.isErr()) {
+            await this.rejectRequest(request, response, orderKeyText.value, caller.error);
+            return;
+        }
+        const { feature, requestId } = parsed.value;
+        const workspace = compiled.needsKeys ? caller.value.workspace?.name ?? "" : parsed.value.workspace;
+        const route = applyWorkspaceRank(compiled, this.routeSplitter.chooseRoute(parsed.value.route), caller.value.workspace);
         if (this.isFeatureRetired(feature)) {
-            await this.rejectRetiredFeature(request, response, orderKeyText.value, parsed.value);
+            await this.rejectRetiredFeature(request, response, orderKeyText.value, { feature, workspace });
             return;
         }
         if (!context.heldBytes.isAdmitted(route.rankIndex, compiled.document.ranks.length)) {
@@ -125,6 +132,8 @@
             body: body.value,
             route,
             workspace,
+            keyDigest: caller.value.keyDigest,
+            hasKeys: compiled.needsKeys,
             feature,
             deadlineAt,
             timeLimit: parsed.value.deadlineMs <= (route.timeoutMs ?? Infinity) ? "deadline" : "routeTimeout",
@@ -149,9 +158,9 @@
             await this.rejectRetiredFeature(request, response, orderKeyText, routedRequest);
             return;
         }
-        const drainError = executor.getDrainError(routedRequest);
-        if (drainError !== undefined) {
-            await this.rejectRequest(request, response, orderKeyText, drainError, routedRequest);
+        const refusal = workspaces.getWithdrawnKeyError(this.options.configuration.getCurrent(), routedRequest) ?? executor.getDrainError(routedRequest);
+        if (refusal !== undefined) {
+            await this.rejectRequest(request, response, orderKeyText, refusal, routedRequest);
             return;
         }
         if (route.repeatable) {
@@ -174,7 +183,7 @@
     }
 
     private recordCompletion(request: requests.RoutedRequest, startedAt: number, result: Pick<requests.ExecutionSummary, "outcome" | "status" | "attempts" | "error" | "body">): void {
-        const { route: { name: route, service, rank }, requestId, trail } = request;
+        const { route: { name: route, service, rank }, requestId, trail, workspace } = request;
         const latencyMs = this.options.context.clock.getNow() - startedAt;
         const { outcome, status, attempts, error, body } = result;
         this.metrics.recordRequest({ service, rank, outcome, status, latencyMs });
@@ -183,6 +192,7 @@
             route,
             service,
             rank,
+            workspace: workspace === "" ? undefined : workspace,
             status,
             outcome,
             attempts,
@@ -250,6 +260,12 @@
     }
 }
 
+/** Returns the route with the rank of the request's workspace, which goes before the route's own. */
+function applyWorkspaceRank(compiled: configuration.CompiledConfiguration, route: configuration.CompiledRoute, workspace: configuration.CompiledWorkspace | undefined): configuration.CompiledRoute {
+    const rankIndex = workspace?.rankIndex ?? route.rankIndex;
+    return rankIndex === route.rankIndex ? route : { ...route, rankIndex, rank: compiled.document.ranks[rankIndex]!.name };
+}
+
 /** Rejects transfer encodings other than chunked, because two servers may disagree on where such a body ends. */
 function checkTransferEncoding(request: http.IncomingMessage): errors.FleetError | undefined {
     const encoding = request.headers["transfer-encoding"];
--- a/src/callers/parseRequest.ts
+++ b/src/callers/parseRequest.ts
@@ -38,7 +38,8 @@
     if (route === undefined) {
         return err(errors.createError("routeNotFound", `no route matches ${method} ${path.slice(0, 200)}`));
     }
-    const workspace = parseNameHeader(request, requests.fleetHeaders.workspace);
+    // With keys, the key names the workspace, and its name may have characters that this header does not allow.
+    const workspace = compiled.needsKeys ? ok(undefined) : parseNameHeader(request, requests.fleetHeaders.workspace);
     const feature = parseNameHeader(request, requests.fleetHeaders.feature);
     const deadlineMs = parseDeadline(request, route, compiled.document.callerHeaders.deadline);
     if (workspace.isErr()) {
--- a/src/callers/requestLog.ts
+++ b/src/callers/requestLog.ts
@@ -14,6 +14,8 @@
     readonly route: string;
     readonly service: string;
     readonly rank: string;
+    /** Undefined if the request has none. */
+    readonly workspace: string | undefined;
     readonly status: number;
     readonly outcome: errors.Outcome;
     readonly attempts: number;
--- a/src/configuration/checkDocument.ts
+++ b/src/configuration/checkDocument.ts
@@ -23,6 +23,7 @@
         ...checkRanks(parsed.data),
         ...Object.entries(parsed.data.services).flatMap(([name, service]) => checkService(name, service)),
         ...checkRoutes(parsed.data),
+        ...checkWorkspaces(parsed.data),
     ];
     return problems.length === 0 ? ok(parsed.data) : createInvalidResult(problems);
 }
@@ -88,6 +89,25 @@
     return problems;
 }
 
+function checkWorkspaces(document: schema.ConfigurationDocument): readonly string[] {
+    const ranks = new Set(document.ranks.map(rank => rank.name));
+    const problems: string[] = [];
+    const ownerByDigest = new Map<string, string>();
+    for (const [name, { keyDigests, rank }] of Object.entries(document.workspaces)) {
+        if (rank !== undefined && !ranks.has(rank)) {
+            problems.push(`workspaces.${name}.rank: value "${rank}": no such rank; allowed: ${[...ranks].join(", ")}`);
+        }
+        for (const digest of keyDigests) {
+            const owner = ownerByDigest.get(digest);
+            if (owner !== undefined) {
+                problems.push(`workspaces.${name}.keyDigests: the digest beginning with ${digest.slice(0, 8)} is also held by the workspace ${owner}; a key names one workspace`);
+            }
+            ownerByDigest.set(digest, name);
+        }
+    }
+    return problems;
+}
+
 function checkTargets(route: schema.RouteDefinition, field: string, document: schema.ConfigurationDocument): readonly string[] {
     if ((route.service === undefined) === (route.split.length === 0)) {
         return [`${field}: give either service or split`];
--- a/src/configuration/chunks.ts
+++ b/src/configuration/chunks.ts
@@ -17,6 +17,9 @@
 const callersChunkName = "callers";
 const serviceChunkPrefix = "service:";
 const routesChunkPrefix = "routes:";
+const workspacesChunkPrefix = "workspaces:";
+/** Number of chunks that the workspaces are distributed over, by a hash of the workspace name. */
+const workspaceGroupCount = 64;
 
 /** One section of a document, for example a service, or one group of its routes. */
 export interface Chunk {
@@ -58,6 +61,7 @@
         createChunk(callersChunkName, { callerHeaders: document.callerHeaders, limits: document.limits }),
         ...Object.entries(document.services).map(([name, service]) => createChunk(`${serviceChunkPrefix}${name}`, service)),
         ...[...groups].map(([group, routes]) => createChunk(`${routesChunkPrefix}${group}`, routes)),
+        ...[...createWorkspaceGroups(document.workspaces)].map(([group, workspaces]) => createChunk(`${workspacesChunkPrefix}${group}`, Object.fromEntries(workspaces))),
     ];
 }
 
@@ -79,11 +83,12 @@
         ...byName.get(callersChunkName) as object | undefined,
         services: Object.fromEntries(parsed.filter(([name]) => name.startsWith(serviceChunkPrefix)).map(([name, value]) => [name.slice(serviceChunkPrefix.length), value])),
         routes: parsed.filter(([name]) => name.startsWith(routesChunkPrefix)).flatMap(([, value]) => value as readonly unknown[]),
+        workspaces: Object.fromEntries(parsed.filter(([name]) => name.startsWith(workspacesChunkPrefix)).flatMap(([, value]) => Object.entries(value ?? {}))),
     };
 }
 
-function computeRouteGroup(routeName: string): number {
-    return crypto.createHash("sha1").update(routeName).digest().readUInt32BE(0) % routeGroupCount;
+function computeGroup(name: string, groupCount: number): number {
+    return crypto.createHash("sha1").update(name).digest().readUInt32BE(0) % groupCount;
 }
 
 function createChunk(name: string, value: unknown): Chunk {
@@ -94,10 +99,21 @@
 function createRouteGroups(routes: readonly schema.RouteDefinition[]): ReadonlyMap<number, readonly schema.RouteDefinition[]> {
     const groups = new Map<number, schema.RouteDefinition[]>();
     for (const route of routes) {
-        const group = computeRouteGroup(route.name);
+        const group = computeGroup(route.name, routeGroupCount);
         const groupRoutes = groups.get(group) ?? [];
         groupRoutes.push(route);
         groups.set(group, groupRoutes);
     }
     return groups;
 }
+
+function createWorkspaceGroups(workspaces: schema.ConfigurationDocument["workspaces"]): ReadonlyMap<number, readonly (readonly [string, schema.WorkspaceDefinition])[]> {
+    const groups = new Map<number, (readonly [string, schema.WorkspaceDefinition])[]>();
+    for (const entry of Object.entries(workspaces)) {
+        const group = computeGroup(entry[0], workspaceGroupCount);
+        const groupEntries = groups.get(group) ?? [];
+        groupEntries.push(entry);
+        groups.set(group, groupEntries);
+    }
+    return groups;
+}
--- a/src/configuration/compiledConfiguration.ts
+++ b/src/configuration/compiledConfiguration.ts
@@ -18,6 +18,14 @@
     readonly route: CompiledRoute;
 }
 
+/** A workspace, with the position of its rank. */
+export interface CompiledWorkspace {
+    readonly name: string;
+    /** 0 for the most urgent rank; undefined if the route's rank applies. */
+    readonly rankIndex: number | undefined;
+    readonly quota: schema.WorkspaceDefinition["quota"];
+}
+
 /** A version of the configuration, ready for use. */
 export interface CompiledConfiguration {
     readonly head: chunks.ConfigurationHead;
@@ -25,6 +33,10 @@
     readonly retiredFeatures: ReadonlySet<string>;
     /** Routes by host, method and path prefix. */
     readonly routes: ReadonlyMap<string, CompiledRoute>;
+    /** Workspaces by the digest of each of their keys; empty if none are configured. */
+    readonly workspaces: ReadonlyMap<string, CompiledWorkspace>;
+    /** Whether requests to routes that are not public need a key. */
+    readonly needsKeys: boolean;
 }
 
 /** The properties of a request that select its route. */
@@ -50,7 +62,17 @@
         const hosts = route.hosts.length === 0 ? [anyHost] : route.hosts;
         hosts.forEach(host => route.methods.forEach(method => routes.set(createRouteKey(host, method, route.pathPrefix), compiledRoute)));
     }
-    return { head, document, retiredFeatures: new Set(document.retiredFeatures), routes };
+    const needsKeys = Object.keys(document.workspaces).length > 0;
+    return { head, document, retiredFeatures: new Set(document.retiredFeatures), routes, workspaces: createWorkspaces(document, rankIndexes), needsKeys };
+}
+
+function createWorkspaces({ workspaces }: schema.ConfigurationDocument, rankIndexes: ReadonlyMap<string, number>): ReadonlyMap<string, CompiledWorkspace> {
+    const byDigest = new Map<string, CompiledWorkspace>();
+    for (const [name, { keyDigests, rank, quota }] of Object.entries(workspaces)) {
+        const workspace = { name, rankIndex: rank === undefined ? undefined : rankIndexes.get(rank), quota };
+        keyDigests.forEach(digest => byDigest.set(digest, workspace));
+    }
+    return byDigest;
 }
 
 /**
--- a/src/configuration/configurationMetrics.ts
+++ b/src/configuration/configurationMetrics.ts
@@ -20,3 +20,8 @@
         collect: () => age.set((clock.getNow() - activeSince) / millisecondsPerSecond),
     });
 }
+
+/** Creates the counter of entries that a configuration of another program holds and this instance does not use. */
+export function createOmissionCounter({ metrics }: context.Context): promClient.Counter {
+    return new promClient.Counter({ name: "agatebend_configuration_entries_omitted_total", help: "Entries of the configuration that are not used, because their kind is unknown or they are unusable.", registers: [metrics] });
+}
--- a/src/configuration/configurationService.ts
+++ b/src/configuration/configurationService.ts
@@ -1,6 +1,7 @@
 /** The service through which operators and other plug-ins read and change the configuration. */
 
 import { err, ok, type Result } from "neverthrow";
+import type * as promClient from "prom-client";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import * as serviceRegistry from "../kernel/serviceRegistry.js";
@@ -22,6 +23,9 @@
 /** Maximum number of attempts to apply an edit that conflicts with other changes. */
 const maximumEditAttempts = 5;
 
+/** How many of a version's unused entries its log line describes. */
+const maximumLoggedOmissions = 5;
+
 /** An accepted change. */
 export interface ChangeResult {
     readonly version: number;
@@ -46,6 +50,7 @@
     private readonly storeSync: storeSync.StoreSync;
     private readonly freshness: freshnessTracker.FreshnessTracker;
     private readonly externalCache: store.PrefixCache;
+    private readonly omissionCounter: promClient.Counter;
     private parseExternalConfiguration: externalConfiguration.ConfigurationParser | undefined;
 
     constructor(private readonly options: CreateConfigurationServiceOptions) {
@@ -53,6 +58,7 @@
         const { state } = this;
         this.freshness = new freshnessTracker.FreshnessTracker({ staleAfterMs: context.settings.staleAfterMs }, context.clock.getNow());
         configurationMetrics.createConfigurationGauges(context, state);
+        this.omissionCounter = configurationMetrics.createOmissionCounter(context);
         this.writer = new changeWriter.ChangeWriter({ store: storeService, getActiveVersion: () => state.getVersion(), getActiveHead: () => state.getCurrent()?.head });
         this.peerSync = new peerSync.PeerSync({ context, mesh, state });
         this.externalCache = new store.PrefixCache({ context, store: storeService, prefix: context.settings.configurationKey, onChange: entries => this.applyExternalEntry(entries.get(context.settings.configurationKey)) });
@@ -195,7 +201,8 @@
         if (entry === undefined || this.parseExternalConfiguration === undefined) {
             return;
         }
-        const applied = this.parseExternalConfiguration(entry.value).andThen(({ version, document }) => {
+        const applied = this.parseExternalConfiguration(entry.value).andThen(({ version, document, omissions = [] }) => {
+            this.recordOmissions(version, omissions);
             const documentChunks = chunks.createChunks(document);
             const head = { version, changeId: `revision-${entry.revision}`, chunks: Object.fromEntries(documentChunks.map(chunk => [chunk.name, chunk.hash])), recent: [] };
             return this.state.applyVersion(head, new Map(documentChunks.map(chunk => [chunk.hash, chunk.text])));
@@ -209,6 +216,18 @@
         }
     }
 
+    /** Logs the entries of a version that are not used, once for each version. */
+    private recordOmissions(version: number, omissions: readonly string[]): void {
+        if (version <= this.state.getVersion() || omissions.length === 0) {
+            return;
+        }
+        this.omissionCounter.inc(omissions.length);
+        this.options.context.logger.writeWarning("configuration-entries-omitted", `version ${version} has ${omissions.length} entries that are not used: ${omissions.slice(0, maximumLoggedOmissions).join("; ")}`, {
+            version,
+            count: omissions.length,
+        });
+    }
+
     private async readNewerVersion(): Promise<void> {
         const stored = await this.writer.readHead();
         const head = stored.isOk() ? stored.value.head : undefined;
--- a/src/configuration/externalConfiguration.ts
+++ b/src/configuration/externalConfiguration.ts
@@ -11,6 +11,8 @@
     /** Increases with each change. */
     readonly version: number;
     readonly document: schema.ConfigurationDocument;
+    /** Descriptions of the entries that were left out because this release does not know their kind or cannot use them. */
+    readonly omissions?: readonly string[];
 }
 
 /** Parses the value of the store key that the setting `configurationKey` names. */
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -8,11 +8,11 @@
 import * as externalConfiguration from "./externalConfiguration.js";
 
 export { checkDocument, parseDocument } from "./checkDocument.js";
-export { type CompiledConfiguration, type CompiledRoute, findRoute } from "./compiledConfiguration.js";
+export { type CompiledConfiguration, type CompiledRoute, type CompiledWorkspace, findRoute } from "./compiledConfiguration.js";
 export { configurationKey, type ConfigurationService } from "./configurationService.js";
 export { type ConfigurationParser, configurationParserKey, type ExternalConfiguration } from "./externalConfiguration.js";
 export { RouteSplitter } from "./routeSplitter.js";
-export { type ConfigurationDocument, documentSchema, hostPattern, namePattern, type RankDefinition, type RouteDefinition, type ServiceDefinition, type UpstreamDefinition, upstreamSchema } from "./schema.js";
+export { type ConfigurationDocument, documentSchema, hostPattern, namePattern, type RankDefinition, type RouteDefinition, type ServiceDefinition, type UpstreamDefinition, upstreamSchema, type WorkspaceDefinition } from "./schema.js";
 
 plugins.registerPlugin({
     name: "configuration",
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -9,6 +9,8 @@
 export const hostPattern = /^([a-z0-9._-]{1,253}|\[[0-9a-f:.]{2,64}\])$/;
 
 const nameSchema = z.string().regex(namePattern, "must be 1 to 63 letters, digits, '.', '-' or '_', and begin with a letter or digit");
+/** The name of a workspace is sent to upstreams in a header. */
+const workspaceNameSchema = z.string().regex(/^[\x21-\x7e]{1,200}$/, "must be 1 to 200 printable ASCII characters without spaces");
 const millisecondsSchema = z.number().int().min(1).max(86_400_000);
 const headerNameSchema = z.string().regex(/^[a-z0-9-]{1,64}$/, "must be a header name in lower case");
 
@@ -55,6 +57,8 @@
     echoHeader: headerNameSchema.optional(),
     /** The header that every successful response of an upstream carries. */
     sealHeader: headerNameSchema.optional(),
+    /** The request header that tells the upstream the name of the workspace whose key the caller showed. */
+    workspaceHeader: headerNameSchema.optional(),
 });
 
 /** Maps requests to a service or to a weighted split of services. */
@@ -74,6 +78,8 @@
     repeatable: z.boolean(),
     /** Whether a request that is not repeatable must carry an order key. */
     orderKey: z.enum(["required", "optional"]).default("required"),
+    /** Whether requests need no workspace key. Without configured workspaces, none do. */
+    public: z.boolean().default(false),
     /** The feature of requests that name none. */
     feature: nameSchema.optional(),
     /** The deadline of requests that name none. */
@@ -93,6 +99,20 @@
     guaranteedShare: z.number().min(0).max(1),
 });
 
+/** A customer of the operator. Its callers show one of its keys as `Authorization: Bearer KEY`. */
+export const workspaceSchema = z.strictObject({
+    /** The SHA-256 digests of the workspace's keys in hexadecimal, so that no key is stored. */
+    keyDigests: z.array(z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 digest of 64 hexadecimal digits in lower case")).max(1_000).default([]),
+    /** The rank of the workspace's requests, in place of the route's. */
+    rank: nameSchema.optional(),
+    /** How many requests all instances together execute for the workspace; no limit if omitted. */
+    quota: z.strictObject({
+        requestsPerSecond: z.number().positive().max(1_000_000_000),
+        /** Requests beyond the rate that may be executed at once after a quiet time. */
+        burst: z.number().min(0).max(1_000_000_000).default(0),
+    }).optional(),
+});
+
 /** The names of request headers that callers set. */
 const callerHeadersSchema = z.strictObject({
     /** Milliseconds that the caller waits for the response. */
@@ -115,6 +135,8 @@
     services: z.record(nameSchema, serviceSchema),
     routes: z.array(routeSchema).max(100_000),
     retiredFeatures: z.array(nameSchema).max(100_000).default([]),
+    /** Workspaces by name. If there are any, requests need a key unless their route is public. */
+    workspaces: z.record(workspaceNameSchema, workspaceSchema).default({}),
     callerHeaders: callerHeadersSchema.prefault({}),
     limits: limitsSchema.prefault({}),
 });
@@ -131,5 +153,8 @@
 /** The configuration of a route. */
 export type RouteDefinition = z.infer<typeof routeSchema>;
 
+/** The configuration of a workspace. */
+export type WorkspaceDefinition = z.infer<typeof workspaceSchema>;
+
 /** The configuration of a rank. */
 export type RankDefinition = z.infer<typeof rankSchema>;
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -208,6 +208,7 @@
     const { slot, request, service, context } = options;
     const { host, port } = settings.parseAddress(slot.upstream.getAddress());
     const remainingMs = Math.max(1, Math.floor(request.deadlineAt - context.clock.getNow()));
+    const workspaceHeader = request.hasKeys ? service.workspaceHeader : undefined;
     const identity = service.identityHeader === undefined ? [] : [service.identityHeader, slot.upstream.getId()];
     const requestOptions: upstreamAgent.UpstreamRequestOptions = {
         upstream: slot.upstream,
@@ -218,11 +219,18 @@
         path: request.path,
         agent: options.agent ?? options.createSeparateAgent?.() ?? false,
         headers: [
-            ...headers.listEndToEndHeaders(request.rawHeaders, ["content-length", service.deadlineHeader, ...identity.slice(0, 1)]),
+            ...headers.listEndToEndHeaders(request.rawHeaders, [
+                "content-length",
+                service.deadlineHeader,
+                ...identity.slice(0, 1),
+                ...(request.hasKeys ? ["authorization"] : []),
+                ...(workspaceHeader === undefined ? [] : [workspaceHeader]),
+            ]),
             ...createBodyHeaders(request),
             service.deadlineHeader,
             String(remainingMs),
             ...identity,
+            ...(workspaceHeader === undefined || request.workspace === "" ? [] : [workspaceHeader, request.workspace]),
             ...options.extraHeaders ?? [],
             "Via",
             `1.1 ${context.identity.instanceId}`,
--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -204,6 +204,8 @@
             route: route.name,
             rankIndex: route.rankIndex,
             feature: request.feature,
+            workspace: request.workspace,
+            keyDigest: request.keyDigest,
             isRepeatable: route.repeatable,
             ...progress,
             deadlineAt: request.deadlineAt,
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -13,7 +13,12 @@
     readonly rawHeaders: readonly string[];
     readonly body: Buffer;
     readonly route: configuration.CompiledRoute;
+    /** The workspace that the caller's key names, or that the caller names where no workspaces are configured; empty if there is none. */
     readonly workspace: string;
+    /** The digest of the key that the request was admitted by; undefined if it needed none. */
+    readonly keyDigest: string | undefined;
+    /** Whether callers show keys, which are not passed on to upstreams. */
+    readonly hasKeys: boolean;
     readonly feature: string | undefined;
     /** When the request's deadline expires, in monotonic milliseconds. */
     readonly deadlineAt: number;
