Let orders try idle upstreams while their service fails

Lines of 13 s name 43 of 72 upstreams at the prior estimate with nothing in flight: only lookups tried idle upstreams. Ruled out by the same lines: paused upstreams, missing entries, load that has ended.

What explores is now one module, explorationPolicy.ts. Orders try idle upstreams without a recent failure while over 0.08 of the cell's attempts at the service fail. Lookups risk their retry for the sake of orders in proportion to these.

--- a/src/upstreamHealth/chooseByExpectedCost.ts
+++ b/src/upstreamHealth/chooseByExpectedCost.ts
@@ -14,6 +14,8 @@
 const idleAgeMs = 1_000;
 /** The value of an observation of an idle upstream. It exceeds the cost of a request to an upstream of unknown health that can be retried. */
 const idleExplorationValue = 0.04;
+/** An upstream up to this failure probability counts as one of unknown health; a single failure at an upstream without history counts for 6 s. */
+const unknownFailureProbability = 0.28;
 /** The cost of an upstream with all slots in use. It grows linearly with the slots in use, because an upstream that is nearly full is slower. */
 const loadCost = 0.01;
 /** The cost of queueing at an upstream until the target latency is used up. */
@@ -34,6 +36,8 @@
     | "oldest"
     /** Those that are idle. */
     | "idle"
+    /** Those that are idle and whose last failure, if any, no longer counts. */
+    | "idleAtPrior"
     | "none";
 
 /** The request, and the upstreams to choose from. */
@@ -53,6 +57,8 @@
     /** The median latency of the route. */
     readonly medianLatencyMs: number;
     readonly exploration: Exploration;
+    /** How much an observation is worth for the sake of other requests, from 0 to 1. It scales the exploration of the oldest observations. */
+    readonly observationWeight?: number;
     /** The average size of the route's response bodies. */
     readonly averageResponseBytes: number;
     /** Identifiers of the upstreams that the request was already sent to. */
@@ -97,12 +103,17 @@
 }
 
 /** Computes the benefit of a new observation of an upstream for a request that can be retried. */
-function computeExplorationBenefit(candidate: pool.Upstream, { table, now, exploration }: ChooseByExpectedCostOptions): number {
+function computeExplorationBenefit(candidate: pool.Upstream, { table, now, exploration, observationWeight = 1 }: ChooseByExpectedCostOptions): number {
     const ageMs = now - Math.max(table.getEstimate(candidate).getUpdatedAt(), table.getLastSentAt(candidate));
     return match(exploration)
-        .with("oldest", () => explorationValue * (1 - Math.exp(-ageMs / explorationAgeMs)))
-        // Only an observation shows that an upstream has recovered, so one without requests would stay without them for good.
-        .with("idle", () => ageMs >= idleAgeMs && table.getFleetInFlight(candidate) === 0 ? idleExplorationValue : 0)
+        .with("oldest", () => Math.max(explorationValue * observationWeight * (1 - Math.exp(-ageMs / explorationAgeMs)), computeIdleBenefit(ageMs, table.getFleetInFlight(candidate))))
+        .with("idle", () => computeIdleBenefit(ageMs, table.getFleetInFlight(candidate)))
+        .with("idleAtPrior", () => table.getEstimate(candidate).getFailureProbability(now) <= unknownFailureProbability ? computeIdleBenefit(ageMs, table.getFleetInFlight(candidate)) : 0)
         .with("none", () => 0)
         .exhaustive();
 }
+
+/** Only an observation shows that an upstream has recovered, so one without requests would stay without them for good. */
+function computeIdleBenefit(ageMs: number, fleetInFlight: number): number {
+    return ageMs >= idleAgeMs && fleetInFlight === 0 ? idleExplorationValue : 0;
+}
--- a/src/upstreamHealth/upstreamHealth.ts
+++ b/src/upstreamHealth/upstreamHealth.ts
@@ -4,7 +4,7 @@
 import type * as context from "../kernel/context.js";
 import type * as peers from "../peers/index.js";
 import * as pool from "../pool/index.js";
-import * as failureShare from "./failureShare.js";
+import * as explorationPolicy from "./explorationPolicy.js";
 import type * as healthEstimate from "./healthEstimate.js";
 import * as chooseByExpectedCost from "./chooseByExpectedCost.js";
 import type * as healthUpdateBuffer from "./healthUpdateBuffer.js";
@@ -22,30 +22,19 @@
 const responseSizeWeight = 0.1;
 /** The assumed median latency of a route without history, as a fraction of its target latency. */
 const defaultLatencyFraction = 0.3;
-/** If a larger share of the recent attempts at a service failed, an idle upstream is no worse for a request that cannot be retried. */
-const failingServiceShare = 0.1;
 /** The interval between two removals of expired reports from other instances, and between two looks at unused upstreams. */
 const expiryCheckIntervalMs = 1_000;
 const zeroCounts: Readonly<Record<healthEstimate.Observation, number>> = { good: 0, bad: 0, survived: 0 };
 
 /** A request that needs an upstream, and the upstreams to choose from. */
-export interface ChooseUpstreamQuery {
-    readonly service: string;
+export interface ChooseUpstreamQuery extends explorationPolicy.ExplorationQuery {
     readonly route: string;
-    /** Whether the request may safely run twice, as configured for its route. */
-    readonly isRepeatable: boolean;
-    /** Whether this is a later attempt of the request. */
-    readonly isRetry: boolean;
-    /** Whether the request can be retried if this attempt fails. */
-    readonly canRetry: boolean;
     /** Identifiers of the upstreams that the request was already sent to. */
     readonly excludedUpstreamIds: ReadonlySet<string>;
     /** How long the request has been queued at this instance. */
     readonly queuedMs: number;
     readonly targetLatencyMs: number;
     readonly upstreams: readonly pool.Upstream[];
-    /** The current time, in monotonic milliseconds. */
-    readonly now: number;
 }
 
 /** Options of the health sharing. */
@@ -62,13 +51,11 @@
     readonly table = new upstreamHealthTable.UpstreamHealthTable();
     private readonly relay: healthUpdateRelay.HealthUpdateRelay;
     private readonly unusedLog: unusedUpstreamLog.UnusedUpstreamLog;
-    private readonly failureShare = new failureShare.FailureShare();
+    private readonly exploration = new explorationPolicy.ExplorationPolicy();
     private upstreamIndex: { readonly pools: readonly (readonly pool.Upstream[])[]; readonly byId: ReadonlyMap<string, pool.Upstream>; } = { pools: [], byId: new Map() };
     private readonly recordedAsOverdue = new WeakSet<pool.AttemptRecord>();
     /** The moving average of each route's response sizes. */
     private readonly averageResponseBytes = new Map<string, number>();
-    /** The services of routes whose requests are not repeatable. These requests depend on fresh observations of all upstreams. */
-    private nonRepeatableServices: ReadonlySet<string> = new Set();
 
     constructor(private readonly options: CreateUpstreamHealthOptions) {
         this.relay = new healthUpdateRelay.HealthUpdateRelay({
@@ -83,10 +70,7 @@
             onStart: (upstream, attempt) => this.recordStart(upstream, attempt),
             onEnd: (upstream, attempt, outcome) => this.recordEnd(upstream, attempt, outcome),
         });
-        options.configuration.addListener(({ document }) => {
-            const nonRepeatableRoutes = document.routes.filter(route => !route.repeatable);
-            this.nonRepeatableServices = new Set(nonRepeatableRoutes.flatMap(route => [...route.service === undefined ? [] : [route.service], ...route.split.map(part => part.service)]));
-        });
+        options.configuration.addListener(({ document }) => this.exploration.setRoutes(document.routes));
         options.mesh.addDisconnectListener(peerId => this.handlePeerLoss(peerId));
     }
 
@@ -109,7 +93,8 @@
             medianLatencyMs: this.options.pool.latencies.getQuantile(query.service, query.route, 0.5) ?? query.targetLatencyMs * defaultLatencyFraction,
             table: this.table,
             failureDomain: identity.failureDomain,
-            exploration: this.getExploration(query),
+            exploration: this.exploration.chooseExploration(query),
+            observationWeight: this.exploration.getObservationWeight(query.service, query.now),
             averageResponseBytes: this.averageResponseBytes.get(query.route) ?? 0,
             getFraction: random.getFraction,
         });
@@ -136,14 +121,6 @@
         );
     }
 
-    private getExploration({ service, canRetry, isRepeatable, isRetry, now }: ChooseUpstreamQuery): chooseByExpectedCost.Exploration {
-        if (canRetry) {
-            return this.nonRepeatableServices.has(service) ? "oldest" : "idle";
-        }
-        const isFirstAttempt = isRepeatable && !isRetry;
-        return isFirstAttempt && this.failureShare.getShare(service, now) > failingServiceShare ? "idle" : "none";
-    }
-
     private listUpstreams(): readonly pool.Upstream[] {
         return this.options.pool.listServicePools().flatMap(({ upstreams }) => upstreams);
     }
@@ -151,6 +128,7 @@
     private recordStart(upstream: pool.Upstream, attempt: pool.AttemptRecord): void {
         const { clock, loop } = this.options.context;
         this.table.recordSent(upstream, clock.getNow());
+        this.exploration.recordStart(upstream.service, attempt.route, clock.getNow());
         this.addLoadUpdate(upstream);
         loop.scheduleOnce(survivalThresholdMs, () => {
             if (upstream.attempts.has(attempt)) {
@@ -160,7 +138,7 @@
     }
 
     private recordEnd(upstream: pool.Upstream, attempt: pool.AttemptRecord, outcome: pool.AttemptOutcome): void {
-        this.failureShare.recordAttempt(upstream.service, outcome, this.options.context.clock.getNow());
+        this.exploration.recordEnd(upstream.service, outcome, this.options.context.clock.getNow());
         const isShedWithFreeSlots = outcome === "shed" && this.table.getFleetInFlight(upstream) < upstream.getSlots();
         const isBad = isShedWithFreeSlots || outcome === "failed" || outcome === "timedOut" || outcome === "unreachable";
         if (isBad) {
@@ -221,6 +199,9 @@
                 continue;
             }
             this.table.recordRemoteInFlight(upstream, origin, inFlight, now);
+            if (!healthUpdateRelay.isCellOrigin(origin)) {
+                this.exploration.recordCellOutcomes(upstream.service, { failures: counts.bad, successes: counts.good }, now);
+            }
             const estimate = this.table.getEstimate(upstream);
             const before = estimate.getFailureProbability(now);
             estimate.recordObservations(counts, newestGoodSentAt, now);
--- a/test/upstreamHealth/upstreamUse.test.ts
+++ b/test/upstreamHealth/upstreamUse.test.ts
@@ -123,3 +123,17 @@
         t.ok(Math.min(1, ...shares) >= requiredShare, `seed ${seed}: shares of the healthy upstreams used in each window with failures: ${shares.join(", ")}`);
     }
 });
+
+// 85 upstreams of a service with orders alone, of which 0.6 lose 0.4 of their responses: the choice kept to those with a recent success.
+void tap.test("healthy upstreams are used while most of a service with orders alone lose a part of their responses", async t => {
+    const losingShare = 0.6;
+    const lostPart = 0.4;
+    for (const seed of seeds) {
+        const { getFraction } = randomness.createSeededRandomness(seed);
+        const losing = new Set(Array.from({ length: healthInstance.upstreamCount }, (_, index) => index).filter(() => getFraction() < losingShare));
+        const windows = runTraffic(seed, 0, (index, atMs) => losing.has(index) && atMs >= 4_000 && getFraction() < lostPart ? failed : answered, false);
+        const unserved = windows.slice(2).filter(({ unserved: count, requests }) => count > requests * toleratedFailures);
+        const shares = unserved.map(({ used }) => [...used].filter(index => !losing.has(index)).length / (healthInstance.upstreamCount - losing.size));
+        t.ok(Math.min(1, ...shares) >= requiredShare, `seed ${seed}: shares of the healthy upstreams used in each window with failures: ${shares.join(", ")}`);
+    }
+});
