Refuse requests with an unknown key without looking at their order key, and repeat no key in a message

Cause, found in a review: a caller without a valid key got the stored response of an order whose issued key it knew, and its refusal made the order's owner refuse the order from then on. Messages about an invalid configuration repeated a key that stood in place of its digest, of a list or without quotes. A service without configured workspaces passed on the caller's own workspace header.

Change: a 401 for a request with an order key has the kind keyUnknownRepeat and an unknown outcome, and does not touch the ledger. Values of keys and excerpts of JSON are left out of messages. The workspace header of a service is always removed from the caller's headers.

--- a/src/callers/callerRequestHandler.ts
+++ b/src/callers/callerRequestHandler.ts
@@ -222,6 +222,11 @@
         this.metrics.recordRejection(error.kind);
         const current = this.options.configuration.getCurrent();
         this.requestLog.writeRejectedRequest(parseRequest.parseRequestId(request, current), error, current?.head.version ?? 0);
+        if (orderKeyText !== undefined && error.kind === "keyUnknown") {
+            // A caller without a valid key gets no stored response, and does not cause its order key to be refused later.
+            responses.writeErrorResponse(response, errors.createError("keyUnknownRepeat", error.message), this.options.context);
+            return;
+        }
         const orderResult = orderKeyText === undefined ? undefined : await this.options.orders.resolveRefusal(orderKeyText, error, routedRequest);
         if (error.kind === "bodyTooLarge" || error.kind === "badRequest") {
             response.setHeader("connection", "close");
--- a/src/callers/responses.ts
+++ b/src/callers/responses.ts
@@ -30,7 +30,7 @@
         "content-type": "application/json",
         "content-length": Buffer.byteLength(body),
         ...retryAfter,
-        ...(error.kind === "keyUnknown" ? { "www-authenticate": "Bearer" } : {}),
+        ...(errorDefinition.status === 401 ? { "www-authenticate": "Bearer" } : {}),
         [fleetHeaders.outcome]: errorDefinition.outcome,
         [fleetHeaders.error]: error.kind,
         [fleetHeaders.retry]: errorDefinition.retry,
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -57,7 +57,7 @@
     echoHeader: headerNameSchema.optional(),
     /** The header that every successful response of an upstream carries. */
     sealHeader: headerNameSchema.optional(),
-    /** The request header that tells the upstream the name of the workspace whose key the caller showed. */
+    /** The request header that tells the upstream the name of the workspace whose key the caller showed. A value that the caller sends is removed. */
     workspaceHeader: headerNameSchema.optional(),
 });
 
--- a/src/kernel/boundedJson.ts
+++ b/src/kernel/boundedJson.ts
@@ -36,10 +36,15 @@
         return ok(JSON.parse(text));
     }
     catch (thrown) {
-        return err(errors.createError("inputMalformed", `the text is not JSON: ${errors.getErrorMessage(thrown)}`));
+        return err(errors.createError("inputMalformed", `the text is not JSON: ${removeExcerpt(errors.getErrorMessage(thrown))}`));
     }
 }
 
+/** Removes the excerpt of the text that some messages of `JSON.parse` contain, because a configuration contains keys. */
+function removeExcerpt(message: string): string {
+    return message.replace(/(^|, )(\.\.\.)?".* is not valid JSON$/s, "") || "it begins with no value";
+}
+
 /** Returns whether brackets and braces outside of strings are nested more deeply than allowed. */
 function isTextNestedTooDeeply(text: string): boolean {
     let depth = 0;
--- a/src/kernel/errors.ts
+++ b/src/kernel/errors.ts
@@ -32,6 +32,7 @@
     badRequest: createDefinition(400, "InvalidArgument", "not-executed", "no", "A header, parameter or field of the request is invalid."),
     routeNotFound: createDefinition(404, "NotFound", "not-executed", "no", "No route matches the method and path."),
     keyUnknown: createDefinition(401, "Unauthenticated", "not-executed", "no", "The route needs the key of a workspace, and the request has none that is known."),
+    keyUnknownRepeat: createDefinition(401, "Unauthenticated", "unknown", "no", "As keyUnknown, for a request with an order key. An earlier request with that order key may have been executed."),
     quotaExceeded: createDefinition(429, "ResourceExhausted", "not-executed", "later", "The workspace's quota of requests is used up."),
     featureRetired: createDefinition(410, "FailedPrecondition", "not-executed", "no", "The request's feature is retired."),
     bodyTooLarge: createDefinition(413, "InvalidArgument", "not-executed", "no", "The request body is larger than the limit."),
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -208,7 +208,7 @@
     const { slot, request, service, context } = options;
     const { host, port } = settings.parseAddress(slot.upstream.getAddress());
     const remainingMs = Math.max(1, Math.floor(request.deadlineAt - context.clock.getNow()));
-    const workspaceHeader = request.hasKeys ? service.workspaceHeader : undefined;
+    const { workspaceHeader } = service;
     const identity = service.identityHeader === undefined ? [] : [service.identityHeader, slot.upstream.getId()];
     const requestOptions: upstreamAgent.UpstreamRequestOptions = {
         upstream: slot.upstream,
@@ -230,7 +230,7 @@
             service.deadlineHeader,
             String(remainingMs),
             ...identity,
-            ...(workspaceHeader === undefined || request.workspace === "" ? [] : [workspaceHeader, request.workspace]),
+            ...(workspaceHeader === undefined || !request.hasKeys || request.workspace === "" ? [] : [workspaceHeader, request.workspace]),
             ...options.extraHeaders ?? [],
             "Via",
             `1.1 ${context.identity.instanceId}`,
--- a/src/settings/checkServeSettings.ts
+++ b/src/settings/checkServeSettings.ts
@@ -6,6 +6,8 @@
 import * as serveSettings from "./serveSettings.js";
 
 const maximumValueCharacters = 80;
+/** Fields of configurations whose values do not stand in messages, because they are keys or were mistaken for them. */
+const secretFields: ReadonlySet<PropertyKey> = new Set(["keys", "keyDigests"]);
 
 /**
  * Formats a zod issue as the field, its value and the allowed values.
@@ -17,7 +19,8 @@
         return `${field}: unknown field ${issue.keys.map(key => JSON.stringify(key)).join(", ")}; remove it or correct its name`;
     }
     const value = getValueAtPath(input, issue.path);
-    const description = value === undefined ? "missing" : `value ${formatValue(value)}`;
+    const isSecret = typeof value === "string" && issue.path.some(part => secretFields.has(part));
+    const description = value === undefined ? "missing" : isSecret ? `a string of ${value.length} characters` : `value ${formatValue(value)}`;
     return `${field}: ${description}: ${issue.message}`;
 }
 
--- a/test/harness/platform.ts
+++ b/test/harness/platform.ts
@@ -22,14 +22,24 @@
     readonly split?: readonly { readonly service: string; readonly weight: number; }[];
     readonly timeoutMs?: number;
     readonly maximumAttempts?: number;
+    readonly priority?: number;
+    readonly public?: boolean;
+}
+
+/** A workspace in the platform's configuration format. */
+export interface TestWorkspace {
+    readonly name: string;
+    readonly keys: readonly string[];
+    readonly priority?: number;
 }
 
 /** Creates a configuration in the format that the platform's store holds. */
-export function createPlatformConfiguration(version: number, routes: readonly TestRoute[]): object {
+export function createPlatformConfiguration(version: number, routes: readonly TestRoute[], workspaces: readonly TestWorkspace[] = []): object {
     return {
         version,
         routes: routes.map(route => ({ host, timeoutMs: 4_000, targetLatencyMs: 800, priority: 1, maximumAttempts: 2, ...route })),
         services: ["desk", "vault"].map(name => ({ name, healthPath: "/health", connections: 330, protocol: "h1", tls: false })),
+        ...(workspaces.length === 0 ? {} : { workspaces }),
         limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
     };
 }
--- a/test/platform/translate.test.ts
+++ b/test/platform/translate.test.ts
@@ -19,6 +19,10 @@
     doTest("a version that is not a number", text({ version: "12" }), /version: value "12"/);
     doTest("a route without a kind", text({ routes: [{ name: "r", host: "h", prefix: "/a/", service: "desk" }] }), /routes\.0\.kind/);
     doTest("workspaces that are no list", text({ workspaces: {} }), /workspaces/);
+    const notRepeated = (name: string, input: string) => t.notMatch(translate.parseConfiguration(input)._unsafeUnwrapErr().message, /secret/, `no key is repeated: ${name}`);
+    notRepeated("a key without quotes", text({ workspaces: [{ name: "w", keys: ["secret"] }] }).replace("\"secret\"", "secret"));
+    notRepeated("a key in place of a list", text({ workspaces: [{ name: "w", keys: "secret" }] }));
+    notRepeated("a text that is a key", "secret");
     doTest("a quota that is no number", text({ workspaces: [{ name: "w", keys: [], requestsPerSecond: "5" }] }), /requestsPerSecond: value "5"/);
     doTest("a route to an unknown service", text({ routes: [{ name: "r", host: "h", prefix: "/a/", kind: "safe", service: "none" }] }), /no such service/);
 });
@@ -45,7 +49,8 @@
     t.strictSame(document.ranks.map(({ name }) => name), ["rank-1", "rank-2"], "a workspace may have a rank that no route has");
     t.equal(document.services.desk?.workspaceHeader, "tenant");
     const odd = parse([{ name: "first", keys: ["one", "se\u0000cret", "one"] }, { name: "first", keys: ["other"] }, { name: "a b", keys: ["x"] }, { name: "second", keys: ["one", "three"] }]);
-    t.strictSame(Object.entries(odd.document.workspaces).map(([name, { keyDigests }]) => [name, keyDigests.length]), [["first", 1], ["second", 1]]);
+    t.strictSame(Object.entries(odd.document.workspaces).map(([name, { keyDigests }]) => [name.replace(/\.\..*/, ""), keyDigests.length]), [["first", 1], ["a-b", 0], ["second", 1]]);
+    t.equal(Object.keys(parse([{ name: "a b", keys: ["x"] }]).document.workspaces).length, 1, "keys are still needed if every workspace is unusable");
     t.equal(odd.omissions?.length, 4);
     t.notMatch(odd.omissions?.join(" "), /cret|three/, "no key is repeated");
 });
--- a/test/standins/worker.ts
+++ b/test/standins/worker.ts
@@ -68,6 +68,9 @@
     const runTimes: Record<string, WorkerRun[]> = {};
     const arrivalTimes: number[] = [];
     const deadlines: Record<string, number> = {};
+    /** The values of the headers `tenant` by request; undefined if the request had none. */
+    const tenants: Record<string, string | undefined> = {};
+    let authorizations = 0;
     const counts = { arrived: 0, ran: 0, refused: 0, misdirected: 0, cancelled: 0, connections: 0 };
     let busy = 0;
     let openConnections = 0;
@@ -158,6 +161,8 @@
             response.once("close", () => {
                 run.endedAt ??= getNow();
             });
+            tenants[requestId] = request.headers.tenant as string | undefined;
+            authorizations += request.headers.authorization === undefined ? 0 : 1;
             deadlines[requestId] = Number(request.headers["deadline-ms"] ?? NaN);
             if (Math.random() < behaviour.failPart) {
                 applyFailure(request, response, requestId);
@@ -194,6 +199,9 @@
         });
     });
     const port = await control.startListening(server);
-    const controlPort = await control.startControlServer({ getState: () => ({ runs, runTimes, deadlines, counts, busy, openConnections, arrivalTimes }), setBehaviour: change => void Object.assign(behaviour, change) });
+    const controlPort = await control.startControlServer({
+        getState: () => ({ runs, runTimes, deadlines, tenants, authorizations, counts, busy, openConnections, arrivalTimes }),
+        setBehaviour: change => void Object.assign(behaviour, change),
+    });
     return { port, controlPort };
 }
--- a/test/workspaces/resolveCaller.test.ts
+++ b/test/workspaces/resolveCaller.test.ts
@@ -66,6 +66,7 @@
     doTest("a key of two workspaces", { first: { keyDigests: [digest] }, second: { keyDigests: [digest] } }, /also held by the workspace first/);
     doTest("an unknown rank", { first: { rank: "none" } }, /no such rank/);
     doTest("a key in place of its digest", { first: { keyDigests: ["k"] } }, /SHA-256/);
+    t.notMatch(configuration.checkDocument({ ...base, workspaces: { first: { keyDigests: ["sk-1"] } } })._unsafeUnwrapErr().message, /sk-1/, "a key in place of its digest is not repeated");
     doTest("a quota of 0", { first: { quota: { requestsPerSecond: 0 } } }, /requestsPerSecond/);
     doTest("a name with a line break", { "a\nb": {} }, /^workspaces/);
 });
