Take a response without a status line of HTTP/1 as the upstream's failure

Cause: Node's parser accepts statuses of three digits above 599 and other versions of HTTP. "HTTP/1.1 600" and "HTTP/2.0 200" reached callers as they were. A status such as 000 or 600 with the header of a refusal counted as proof that the request had not been executed, so that an order could be sent again. Notices of such responses were applied.

Change: the status line of a response, of an interim response and of the instance that owns an order key is checked first; the result is a lost response, answered 502.

--- a/src/orders/forwardOrder.ts
+++ b/src/orders/forwardOrder.ts
@@ -52,6 +52,13 @@
             cancelConnect();
         });
         sent.on("response", response => {
+            const fault = requests.getStatusLineFault(response) ?? requests.getHeaderFault(response);
+            if (fault !== undefined) {
+                response.on("error", () => {});
+                sent.destroy();
+                reject(fault);
+                return;
+            }
             void requests.readResponse({ context, response, maximumBytes: currentSettings.requestBodyBytes, reservation: request.reservation, readUntil: request.deadlineAt + responseGraceMs }).then(read => {
                 if (read.isErr()) {
                     reject(`its response could not be read: ${read.error}`);
--- a/src/requests/attempt.ts
+++ b/src/requests/attempt.ts
@@ -10,6 +10,7 @@
 import * as drainBody from "./drainBody.js";
 import * as responseIntegrity from "./responseIntegrity.js";
 import * as headers from "./headers.js";
+import * as responseHead from "./responseHead.js";
 import * as retryAfter from "./retryAfter.js";
 import type * as types from "./types.js";
 import type * as upstreamAgent from "./upstreamAgent.js";
@@ -20,9 +21,6 @@
 /** The maximum size of all that an upstream sends up to the end of a response's headers, interim responses and blank lines included. */
 const maximumHeadBytes = 65_536;
 
-/** Smaller statuses are interim responses, or none at all. */
-const minimumFinalStatus = 200;
-
 const misdirectedReason = "another upstream now has its address";
 
 /** The result of an attempt, up to the response headers. */
@@ -117,6 +115,12 @@
         });
         sent.on("close", () => finish({ kind: "lost", reason: "the connection closed" }, false));
         watchHeadBytes(sent, () => finish({ kind: "lost", reason: `no response within the first ${maximumHeadBytes} bytes` }, true));
+        sent.on("information", ({ httpVersion }) => {
+            const reason = responseHead.getVersionFault(httpVersion);
+            if (reason !== undefined) {
+                finish({ kind: "lost", reason }, true);
+            }
+        });
         sent.on("response", response => {
             responseIntegrity.watchResponse(sent, response);
             options.agent?.watchResponse(response, slot.upstream);
@@ -125,7 +129,8 @@
                 finish({ kind: "lost", reason: "the upstream has sent stray bytes, so this response on a reused connection may belong to another request" }, true);
                 return;
             }
-            const mismatchReason = getEchoMismatchReason(response, service, request);
+            // Without a status line of HTTP/1, the headers say nothing either, such as that the request was not executed.
+            const mismatchReason = responseHead.getStatusLineFault(response) ?? getEchoMismatchReason(response, service, request);
             if (mismatchReason !== undefined) {
                 response.on("error", () => {});
                 finish({ kind: "lost", reason: mismatchReason }, true);
@@ -138,7 +143,7 @@
                 finish({ kind: "shed", reason: rejectionReason }, false);
                 return;
             }
-            const unsealedReason = getUnsealedReason(response, service) ?? getUnwritableReason(response);
+            const unsealedReason = getUnsealedReason(response, service) ?? responseHead.getHeaderFault(response);
             if (unsealedReason !== undefined) {
                 response.on("error", () => {});
                 finish({ kind: "lost", reason: unsealedReason }, true);
@@ -190,20 +195,6 @@
     return sealHeader !== undefined && isSuccess && response.headers[sealHeader] === undefined ? `a successful response lacks the header ${sealHeader}` : undefined;
 }
 
-/** Returns why the head of a response cannot be passed on; undefined if it can. Node's parser accepts heads that its writer refuses. */
-function getUnwritableReason({ statusCode = 0, rawHeaders }: http.IncomingMessage): string | undefined {
-    if (statusCode < minimumFinalStatus) {
-        return `the response has the status ${statusCode}`;
-    }
-    try {
-        rawHeaders.forEach((text, index) => index % 2 === 0 ? http.validateHeaderName(text) : http.validateHeaderValue(rawHeaders[index - 1]!, text));
-        return undefined;
-    }
-    catch (thrown) {
-        return `the head of the response cannot be passed on: ${errors.getErrorMessage(thrown)}`;
-    }
-}
-
 function createRequest(options: SendAttemptOptions, progress: Progress): http.ClientRequest {
     const { slot, request, service, context } = options;
     const { host, port } = settings.parseAddress(slot.upstream.getAddress());
--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -13,6 +13,7 @@
 export { fleetHeaders, getHeaderValues, listEndToEndHeaders, removeFleetHeaders } from "./headers.js";
 export { readResponse } from "./readResponse.js";
 export { RequestProgress, type RequestWait } from "./requestProgress.js";
+export { getHeaderFault, getStatusLineFault } from "./responseHead.js";
 export { type AtMostOnceResult, runAtMostOnce } from "./runAtMostOnce.js";
 export { type ExecutionSummary, runWithRetries } from "./runWithRetries.js";
 export type { BufferedResponse, RoutedRequest } from "./types.js";
--- a/test/harness/rawUpstream.ts
+++ b/test/harness/rawUpstream.ts
@@ -27,6 +27,9 @@
     /** Whether the attempt may use a kept connection; otherwise it opens one of its own, as for orders. */
     readonly isPooled: boolean;
     readonly deadlineMs?: number;
+    readonly onNotice?: attempt.SendAttemptOptions["onNotice"];
+    /** Replaces fields of the service's definition. */
+    readonly service?: object;
 }
 
 const defaultDeadlineMs = 2_000;
@@ -52,16 +55,16 @@
     const time = clock.createSystemClock();
     const timers = new loop.Loop({ clock: time, getLogger: () => undefined as never });
     const agent = new upstreamAgent.UpstreamAgent({ clock: time, keepAlive: true, onStrayBytes: () => {} });
-    const sendAttempt = ({ requestId, isPooled, deadlineMs = defaultDeadlineMs }: SendOptions) => {
+    const sendAttempt = ({ requestId, isPooled, deadlineMs = defaultDeadlineMs, service, onNotice = () => {} }: SendOptions) => {
         const startedAt = time.getNow();
         return attempt.sendAttempt({
             context: { clock: time, loop: timers, identity: { instanceId: "i1" } },
             slot: { upstream, attempt: { startedAt } },
-            service: { deadlineHeader: "deadline-ms", drainingHeader: "draining", echoHeader: "request-id", sealHeader: "response-seal", shed: { status: "any", header: "not-executed" } },
+            service: { deadlineHeader: "deadline-ms", drainingHeader: "draining", echoHeader: "request-id", sealHeader: "response-seal", shed: { status: "any", header: "not-executed" }, ...service },
             request: { method: "GET", path: "/", rawHeaders: ["Host", "desk.example", "Request-Id", requestId], body: Buffer.alloc(0), deadlineAt: startedAt + deadlineMs },
             agent: isPooled ? agent : undefined,
             signal: new AbortController().signal,
-            onNotice: () => {},
+            onNotice,
             getWaitMs: (ageMs: number) => ageMs >= deadlineMs ? "timedOut" : deadlineMs - ageMs,
         } as unknown as attempt.SendAttemptOptions);
     };
--- a/test/integration.spoiledHead.test.ts
+++ b/test/integration.spoiledHead.test.ts
@@ -43,6 +43,16 @@
         await waitUntilIdle();
     });
 
+    await t.test("without a status line of HTTP/1 is a 502 of the upstream", async t => {
+        for (const statusLine of ["HTTP/1.1 600 X", "HTTP/1.1 999 X", "HTTP/2.0 200 X", "HTTP/0.9 200 X", "HTTP/1.1 000 X", "HTTP/1.1 102 X"]) {
+            await worker.setBehaviour({ spoiled: "spoiledHead", spoilPart: 1, statusLine, headerLines: "" });
+            for (const { status, headers } of await sendBoth()) {
+                t.match([status, headers["x-agatebend-error"], headers["x-agatebend-outcome"]], [502, "answerLost", "unknown"], statusLine);
+            }
+        }
+        await waitUntilIdle();
+    });
+
     await t.test("leaves no slot in use, whatever the head is", async t => {
         await fc.assert(
             fc.asyncProperty(heads, async head => {
