Let the stand-in store return with an older copy

The stand-in could only drop its history. A control call now takes a copy and a later one returns with it: revisions and leases are given out again, watches of later revisions get 410, what the control port wrote since is written again, and the header Store-Era rises in every response.

--- a/test/standins/kvStore.ts
+++ b/test/standins/kvStore.ts
@@ -25,6 +25,20 @@
     readonly ttlMs?: number;
 }
 
+/** The contents at the time of a copy. */
+interface StoreCopy {
+    readonly items: ReadonlyMap<string, Item>;
+    readonly leases: ReadonlyMap<number, number>;
+    readonly events: readonly StoreEvent[];
+    readonly revision: number;
+}
+
+/** How a copy is restored. */
+interface RestoreOptions {
+    /** The time after which the operator and the workers write again what they wrote since the copy, in milliseconds. */
+    readonly rewriteAfterMs?: number;
+}
+
 /** The behaviour that the control port can change. */
 export interface KvStoreBehaviour {
     /** How calls fail: "busy" answers 503, "many" answers 429, "reset" resets the connection, "silent" never answers. */
@@ -56,6 +70,12 @@
     const pendingWatches = new Set<() => void>();
     const behaviour: KvStoreBehaviour = { failure: "none", delayMs: 0, lostReplies: 0 };
     const calls: Record<string, number> = {};
+    /** What the control port wrote since the copy was taken: the last value of each key, undefined if it was removed. */
+    let rewritten = new Map<string, unknown>();
+    /** What is still to be written again after a copy was restored. A later write of the key takes its place. */
+    let pendingRewrites = new Map<string, unknown>();
+    let copy: StoreCopy | undefined;
+    let era = 1;
     const parameterAliases = readParameterNames();
     const getParameter = (query: URLSearchParams, name: ParameterName) => query.get(parameterAliases.get(name)!) ?? "";
 
@@ -97,22 +117,23 @@
         leases.set(id, { ttlMs, timer: setTimeout(() => removeLease(id), ttlMs) });
     };
     const reply = (response: http.ServerResponse, status: number, body: unknown = {}) => {
-        response.writeHead(status, { "content-type": "application/json" });
+        response.writeHead(status, { "content-type": "application/json", "store-era": era });
         response.end(JSON.stringify(body));
     };
     const watch = (query: URLSearchParams, response: http.ServerResponse) => {
         const after = Number(getParameter(query, "after"));
         const prefix = getParameter(query, "prefix");
+        const isGone = () => after < lastDiscardedRevision || after > revision;
         const check = () => {
             const found = events.filter(event => event.revision > after && event.key.startsWith(prefix));
-            if (found.length > 0 || after < lastDiscardedRevision) {
+            if (found.length > 0 || isGone()) {
                 finish(found);
             }
         };
         const finish = (found: readonly StoreEvent[]) => {
             clearTimeout(timer);
             pendingWatches.delete(check);
-            if (after < lastDiscardedRevision) {
+            if (isGone()) {
                 reply(response, 410);
                 return;
             }
@@ -126,6 +147,29 @@
         pendingWatches.add(check);
         check();
     };
+    const takeCopy = () => {
+        copy = { items: new Map(items), leases: new Map([...leases].map(([id, { ttlMs }]) => [id, ttlMs])), events: [...events], revision };
+        rewritten = new Map();
+    };
+    /** Returns with the copy: what the fleet wrote since is gone, and its revisions and leases are given out again. */
+    const restoreCopy = ({ rewriteAfterMs = 0 }: RestoreOptions) => {
+        if (copy === undefined) {
+            return;
+        }
+        server.closeAllConnections();
+        pendingWatches.clear();
+        leases.forEach(({ timer }) => clearTimeout(timer));
+        leases.clear();
+        items.clear();
+        copy.items.forEach((item, key) => items.set(key, item));
+        copy.leases.forEach((ttlMs, id) => renewLease(id, ttlMs));
+        events = [...copy.events];
+        revision = copy.revision;
+        era += 1;
+        const pending = new Map(rewritten);
+        pendingRewrites = pending;
+        setTimeout(() => pending.forEach((value, key) => setValues([[key, value]])), rewriteAfterMs);
+    };
     const commit = (body: Transaction, response: http.ServerResponse) => {
         const conflicts = (body.expectRev ?? []).filter(({ key, revision: expected }) => (items.get(key)?.revision ?? 0) !== expected);
         if (conflicts.length > 0) {
@@ -205,8 +249,14 @@
     });
     const port = await control.startListening(server);
     const controlPort = await control.startControlServer({
-        getState: () => ({ revision, calls, keys: [...items.keys()], behaviour }),
-        setBehaviour: ({ put, remove, dropHistory, cutWatches, ...behaviourChange }) => {
+        getState: () => ({ revision, era, calls, keys: [...items.keys()], behaviour }),
+        setBehaviour: ({ put, remove, dropHistory, cutWatches, takeCopy: takesCopy, restoreCopy: restoreOptions, ...behaviourChange }) => {
+            if (takesCopy === true) {
+                takeCopy();
+            }
+            if (restoreOptions !== undefined) {
+                restoreCopy(restoreOptions as RestoreOptions);
+            }
             Object.assign(behaviour, behaviourChange);
             if (behaviour.failure !== "none") {
                 pendingWatches.clear();
@@ -215,6 +265,11 @@
                 // "silent" keeps open connections waiting forever, like a link that drops all packets.
                 server.closeAllConnections();
             }
+            const written = [...Object.entries(put ?? {}), ...(remove as readonly string[] | undefined ?? []).map(key => [key, undefined] as const)];
+            written.forEach(([key, value]) => {
+                rewritten.set(key, value);
+                pendingRewrites.delete(key);
+            });
             setValues(Object.entries(put ?? {}));
             setValues((remove as readonly string[] | undefined ?? []).map(key => [key, undefined]));
             if (dropHistory === true) {
