Follow the generation of the store, and keep newer entries when it returns with an older copy

A restored store lists entries that were replaced or removed, and gives their revisions out again, so that revisions cannot be compared across the return. The store port now tells a generation.

--- a/src/configuration/configurationService.ts
+++ b/src/configuration/configurationService.ts
@@ -61,7 +61,13 @@
         this.omissionCounter = configurationMetrics.createOmissionCounter(context);
         this.writer = new changeWriter.ChangeWriter({ store: storeService, getActiveVersion: () => state.getVersion(), getActiveHead: () => state.getCurrent()?.head });
         this.peerSync = new peerSync.PeerSync({ context, mesh, state });
-        this.externalCache = new store.PrefixCache({ context, store: storeService, prefix: context.settings.configurationKey, onChange: entries => this.applyExternalEntry(entries.get(context.settings.configurationKey)) });
+        this.externalCache = new store.PrefixCache({
+            context,
+            store: storeService,
+            prefix: context.settings.configurationKey,
+            decideOrder: () => "newer",
+            onChange: entries => this.applyExternalEntry(entries.get(context.settings.configurationKey)),
+        });
         this.storeSync = new storeSync.StoreSync({ context, store: storeService, mesh, state, writer: this.writer, isNearlyStale: () => this.freshness.isNearlyStale(context.clock.getNow()) });
     }
 
--- a/src/configuration/storeSync.ts
+++ b/src/configuration/storeSync.ts
@@ -97,6 +97,8 @@
             },
             onBroken: () => {
                 this.closeWatch = undefined;
+                // The store may have returned with an older copy, which must be written again soon.
+                this.lastReadAt = -Infinity;
                 logger.writeDebug("store-watch-broken", "the watch on the configuration head ended and will be reopened");
             },
         });
--- a/src/discovery/directory.ts
+++ b/src/discovery/directory.ts
@@ -15,6 +15,7 @@
 import * as store from "../store/index.js";
 import * as directoryFeed from "./directoryFeed.js";
 import * as directoryFollower from "./directoryFollower.js";
+import * as entryOrder from "./entryOrder.js";
 
 /** An upstream that a directory entry describes. */
 export type DiscoveredUpstream = pool.DiscoveredUpstream;
@@ -79,17 +80,18 @@
             context,
             store: options.store,
             prefix: context.settings.upstreamDirectory,
+            decideOrder: (entry, known) => entryOrder.decideOrder(this.parseEntry, entry, known),
             onChange: entries => this.handleEntries(entries),
             onEntriesMissing: () => void this.checkMissingEntries(),
             onProgress: () => this.feed.scheduleUpdate(),
             getMaximumWaitMs: () => this.feed.getMaximumWaitMs(),
         });
-        this.feed = new directoryFeed.DirectoryFeed({ context, mesh: options.mesh, listEntries: () => this.cache.listEntries(), getAgeMs: () => this.cache.progress.getAgeMs() });
+        this.feed = new directoryFeed.DirectoryFeed({ context, mesh: options.mesh, listEntries: () => this.cache.listEntries(), getAgeMs: () => this.cache.progress.getAgeMs(), getGeneration: () => this.cache.getGeneration() });
         this.follower = new directoryFollower.DirectoryFollower({
             context,
             mesh: options.mesh,
             isOwnWatchProgressing: () => this.cache.progress.isProgressing(),
-            setEntries: entries => this.cache.setEntries(entries),
+            setEntries: (entries, generation) => this.cache.setEntries(entries, generation),
             applyChanges: (changed, removedKeys) => this.cache.applyChanges(changed, removedKeys),
             setOwnWatch: isNeeded => this.setOwnWatch(isNeeded),
         });
--- a/src/discovery/directoryFeed.ts
+++ b/src/discovery/directoryFeed.ts
@@ -12,6 +12,8 @@
 /** A relay, or an instance that was asked of late, wants an answer of the store after this time at the latest. Events are collected for up to 300 ms besides. */
 const maximumWaitMs = 500;
 const askedLifetimeMs = 5_000;
+/** Precedes the store's generation in an epoch. Earlier versions take an epoch as a whole, and their own have none. */
+const generationSeparator = "@";
 /** The topic of a request to follow, whose reply is a snapshot. */
 export const followTopic = "directory.follow";
 /** The topic of the notices with changes. */
@@ -56,6 +58,12 @@
     return entries === undefined ? undefined : { ...position, entries };
 }
 
+/** Returns the generation of the store that the entries of an epoch come from; undefined if the epoch does not tell it. */
+export function parseGeneration(epoch: string): number | undefined {
+    const [, digits] = epoch.split(generationSeparator);
+    return digits === undefined || !/^\d{1,15}$/.test(digits) ? undefined : Number(digits);
+}
+
 /** Options of a feed. */
 export interface CreateDirectoryFeedOptions {
     readonly context: context.Context;
@@ -64,12 +72,14 @@
     readonly listEntries: () => readonly store.Entry[];
     /** Returns the time since the store last sent news of the directory to this instance itself, in milliseconds. */
     readonly getAgeMs: () => number;
+    /** Returns the generation of the store that the entries come from; undefined if it is not known. */
+    readonly getGeneration?: () => number | undefined;
 }
 
 /** Collects the changes between two signs of life of the store, and sends them with the second one. */
 export class DirectoryFeed {
     /** Distinguishes this process's feed from that of an earlier one. */
-    private readonly epoch: string;
+    private readonly feedId: string;
     private sequence = 0;
     private readonly followers = new Set<string>();
     private changed = new Map<string, store.Entry>();
@@ -77,11 +87,11 @@
     private isSendScheduled = false;
     private lastAskedAt = -Infinity;
     /** The compressed entries at a position, kept because all instances of a cell ask for them when its other relay is lost. */
-    private keptEntries: { readonly sequence: number; readonly deflated: Uint8Array; } | undefined;
+    private keptEntries: { readonly epoch: string; readonly sequence: number; readonly deflated: Uint8Array; } | undefined;
 
     constructor(private readonly options: CreateDirectoryFeedOptions) {
         const { mesh, context: { randomness } } = options;
-        this.epoch = randomness.getIdentifier(8);
+        this.feedId = randomness.getIdentifier(8);
         mesh.setHandler(followTopic, async (body, peerId) => this.addFollower(body, peerId));
         mesh.setNoticeHandler(unfollowTopic, peerId => void this.followers.delete(peerId));
         mesh.addDisconnectListener(peerId => void this.followers.delete(peerId));
@@ -132,14 +142,21 @@
         // A snapshot contains the changes that no update has carried yet, so the others must get them before it is numbered.
         this.sendUpdate();
         this.followers.add(peerId);
-        const position = { epoch: this.epoch, sequence: this.sequence, ageMs };
+        const position = { epoch: this.getEpoch(), sequence: this.sequence, ageMs };
         const acceptsDeflated = followRequestSchema.safeParse(body).data?.acceptsDeflated ?? false;
         return ok(acceptsDeflated ? { ...position, deflatedEntries: this.getDeflatedEntries() } : { ...position, entries: [...this.options.listEntries()] });
     }
 
+    /** Returns the epoch, which changes with the store's generation, so that the followers read all entries again. */
+    private getEpoch(): string {
+        const generation = this.options.getGeneration?.();
+        return generation === undefined ? this.feedId : `${this.feedId}${generationSeparator}${generation}`;
+    }
+
     private getDeflatedEntries(): Uint8Array {
-        if (this.keptEntries?.sequence !== this.sequence) {
-            this.keptEntries = { sequence: this.sequence, deflated: peers.createDeflated(this.options.listEntries()) };
+        const epoch = this.getEpoch();
+        if (this.keptEntries?.sequence !== this.sequence || this.keptEntries.epoch !== epoch) {
+            this.keptEntries = { epoch, sequence: this.sequence, deflated: peers.createDeflated(this.options.listEntries()) };
         }
         return this.keptEntries.deflated;
     }
@@ -153,7 +170,7 @@
             this.changed = new Map();
             this.removed = new Set();
         }
-        const update: DirectoryUpdate = { epoch: this.epoch, sequence: this.sequence, after, ageMs: this.options.getAgeMs(), changed, removed };
+        const update: DirectoryUpdate = { epoch: this.getEpoch(), sequence: this.sequence, after, ageMs: this.options.getAgeMs(), changed, removed };
         this.options.mesh.sendNotices([...this.followers], updateTopic, update);
     }
 }
--- a/src/discovery/directoryFollower.ts
+++ b/src/discovery/directoryFollower.ts
@@ -24,8 +24,8 @@
     readonly mesh: peers.Mesh;
     /** Returns whether the store answers this instance itself as it should; false while it is not asked. */
     readonly isOwnWatchProgressing: () => boolean;
-    /** Replaces all entries by those of a peer. */
-    readonly setEntries: (entries: readonly store.Entry[]) => void;
+    /** Replaces all entries by those of a peer, which come from a generation of the store if the peer knows it. */
+    readonly setEntries: (entries: readonly store.Entry[], generation: number | undefined) => void;
     /** Applies a peer's changes. */
     readonly applyChanges: (changed: readonly store.Entry[], removedKeys: readonly string[]) => void;
     /** Stops or resumes this instance's own watch of the store. */
@@ -140,7 +140,7 @@
         this.freshAt = freshAt;
         this.refusals = 0;
         this.setSource({ peerId, epoch, sequence }, `its news is ${Math.round(ageMs)} ms old`);
-        setEntries(entries);
+        setEntries(entries, directoryFeed.parseGeneration(epoch));
     }
 
     private receiveUpdate(peerId: string, body: unknown): void {
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -10,6 +10,8 @@
 
 export { registerAdapter } from "./adapterRegistry.js";
 export { type CreatePrefixCacheOptions, PrefixCache } from "./prefixCache.js";
+export type { DecideOrder, EntryOrder } from "./restoredEntries.js";
+export { StoreGeneration } from "./storeGeneration.js";
 export { storeKey, type StoreService } from "./types.js";
 export type { Entry, ListResult, Store, StoreAdapter, StoreResult, SwapRequest, SwapResult, WatchEvent, WatchRequest } from "./types.js";
 
--- a/src/store/instrumentedStore.ts
+++ b/src/store/instrumentedStore.ts
@@ -4,6 +4,7 @@
 import * as promClient from "prom-client";
 import type * as context from "../kernel/context.js";
 import type * as errors from "../kernel/errors.js";
+import type * as storeGeneration from "./storeGeneration.js";
 import type * as types from "./types.js";
 
 /** Counts the calls to a store and records when one last succeeded. */
@@ -27,6 +28,14 @@
             registers: [context.metrics],
             collect: () => gauge.set(this.isReachable ? 1 : 0),
         });
+        const restoreCounter = new promClient.Counter({ name: "agatebend_store_restores_total", help: "How often the store was seen to return with an older copy of its contents.", registers: [context.metrics] });
+        store.generation?.addListener((generation, previous) => {
+            if (previous === undefined) {
+                return;
+            }
+            restoreCounter.inc();
+            context.logger.writeWarning("store-restored", `the store returned with an older copy of its contents: generation ${generation} replaces ${previous}`, { generation, previous });
+        });
     }
 
     readonly listEntries = async (prefix: string) => {
@@ -74,6 +83,11 @@
         return this.store.reportsProgress === true;
     }
 
+    /** The generation of the store's contents; undefined if the store does not tell it. */
+    get generation(): storeGeneration.StoreGeneration | undefined {
+        return this.store.generation;
+    }
+
     /** Returns the prefix of every key in the store. */
     readonly getPrefix = () => this.context.settings.storePrefix;
 
@@ -83,7 +97,7 @@
     /** Returns the state of the store for the diagnostic dump. */
     getDump(): unknown {
         const timeSinceSuccessMs = this.getTimeSinceSuccessMs();
-        return { url: this.context.settings.store, isReachable: this.isReachable, silenceMs: Number.isFinite(timeSinceSuccessMs) ? Math.round(timeSinceSuccessMs) : "never reached" };
+        return { url: this.context.settings.store, isReachable: this.isReachable, generation: this.generation?.getCurrent(), silenceMs: Number.isFinite(timeSinceSuccessMs) ? Math.round(timeSinceSuccessMs) : "never reached" };
     }
 
     private recordBytes(direction: "sent" | "received", call: string, { key, value }: { readonly key: string; readonly value: string; }): void {
--- a/src/store/prefixCache.ts
+++ b/src/store/prefixCache.ts
@@ -3,24 +3,25 @@
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import type * as loop from "../kernel/loop.js";
+import * as entryTable from "./entryTable.js";
+import * as missingEntries from "./missingEntries.js";
+import type * as restoredEntries from "./restoredEntries.js";
 import type * as types from "./types.js";
 import * as watchProgress from "./watchProgress.js";
 
 /** Shortest and longest delay before a failed read is retried. The delay doubles with each failure. */
 const minimumRetryDelayMs = 100;
 const maximumRetryDelayMs = 1_000;
-/** How long after an outage of the store entries whose leases expired may reappear. The value is documented by the platform. */
-const reappearanceGraceMs = 2_000;
 /** By then the watch that follows a read has answered for the first time, if the store reports its answers. */
 const firstAnswerDueMs = 3_000;
-/** Milliseconds between two checks for missing entries whose grace period is over. */
-const graceCheckIntervalMs = 100;
 
 /** Options of a prefix cache. */
 export interface CreatePrefixCacheOptions {
     readonly context: context.Context;
     readonly store: types.StoreService;
     readonly prefix: string;
+    /** Compares the contents of two entries of a key, for a store that returned with an older copy. */
+    readonly decideOrder?: restoredEntries.DecideOrder;
     /** Called after each change with all entries by key. */
     readonly onChange: (entries: ReadonlyMap<string, types.Entry>) => void;
     /** Returns the longest time without an answer of the store that suits the owner, in milliseconds. */
@@ -33,18 +34,14 @@
 
 /** Caches the entries under one prefix. */
 export class PrefixCache {
-    private entries = new Map<string, types.Entry>();
-    /** The keys that are missing since an outage, and the time until which their entries are kept. */
-    private readonly missingEntryDeadlines = new Map<string, number>();
+    private readonly table: entryTable.EntryTable;
+    private readonly missing: missingEntries.MissingEntries;
     private closeWatch?: () => void;
     private cancelScheduledRead?: loop.Cancel;
     private retryDelayMs = minimumRetryDelayMs;
-    private stopGraceChecks: loop.Cancel = () => {};
     private hasReadEntries = false;
     private isStopped = false;
     private wasStoreUnreachable = false;
-    /** Until this time, a removal may be caused by an outage of the store. */
-    private graceEndsAt = -Infinity;
     private lastReadAt = -Infinity;
     private lastUpdateAt = -Infinity;
     /** The time since which no interruption has been detected. */
@@ -55,7 +52,10 @@
     readonly progress: watchProgress.WatchProgress;
 
     constructor(private readonly options: CreatePrefixCacheOptions) {
-        this.progress = new watchProgress.WatchProgress(options.context.clock);
+        const { clock, loop } = options.context;
+        this.progress = new watchProgress.WatchProgress(clock);
+        this.table = new entryTable.EntryTable({ clock, decideOrder: options.decideOrder });
+        this.missing = new missingEntries.MissingEntries({ clock, loop, onExpired: keys => this.closeWatch === undefined ? undefined : this.removeMissingEntries(keys) });
     }
 
     /** Reads the entries and starts to watch them. */
@@ -103,68 +103,72 @@
 
     /** Returns the keys of the entries that are missing since an outage and may reappear. */
     listMissingKeys(): readonly string[] {
-        return [...this.missingEntryDeadlines.keys()];
+        return this.missing.listKeys();
     }
 
     /** Removes missing entries that will not reappear. */
     removeMissingEntries(keys: readonly string[]): void {
-        const removed = keys.filter(key => this.missingEntryDeadlines.delete(key));
-        removed.forEach(key => this.entries.delete(key));
+        const removed = keys.filter(key => this.missing.removeKey(key));
+        removed.forEach(key => this.table.removeEntry(key));
         if (removed.length > 0) {
-            this.options.onChange(this.entries);
+            this.notifyChange();
         }
     }
 
     /** Returns the cached entries, including those that are missing and may reappear. */
     listEntries(): readonly types.Entry[] {
-        return [...this.entries.values()];
+        return [...this.table.getEntries().values()];
     }
 
     /** Uses the entries that a peer has read, until this instance has read the store itself. */
     setPeerEntries(entries: readonly types.Entry[]): void {
         if (!this.hasReadEntries) {
-            this.entries = new Map(entries.map(entry => [entry.key, entry]));
-            this.options.onChange(this.entries);
+            this.table.setPeerEntries(entries);
+            this.notifyChange();
         }
     }
 
     /**
      * Replaces the entries by those of a peer that hears from the store while this instance does not. Of an entry that both
      * have, the newer one stays.
+     * @param generation - The generation of the store that the peer's entries come from; undefined if the peer does not know it.
      */
-    setEntries(entries: readonly types.Entry[]): void {
+    setEntries(entries: readonly types.Entry[], generation?: number): void {
         this.hasReadEntries = true;
-        this.missingEntryDeadlines.clear();
-        this.entries = new Map(entries.map(entry => [entry.key, this.chooseNewer(entry)]));
+        this.missing.removeAll();
+        this.table.mergePeerEntries(entries, generation);
         this.lastUpdateAt = this.options.context.clock.getNow();
-        this.options.onChange(this.entries);
+        this.notifyChange();
     }
 
     /** Applies the changes of a peer's entries. */
     applyChanges(changed: readonly types.Entry[], removedKeys: readonly string[]): void {
-        changed.forEach(entry => this.entries.set(entry.key, this.chooseNewer(entry)));
-        for (const key of removedKeys) {
-            this.missingEntryDeadlines.delete(key);
-            this.entries.delete(key);
-        }
+        removedKeys.forEach(key => this.missing.removeKey(key));
+        this.table.applyChanges(changed, removedKeys);
         this.lastUpdateAt = this.options.context.clock.getNow();
-        this.options.onChange(this.entries);
+        this.notifyChange();
+    }
+
+    /** Returns the generation of the store that the entries come from; undefined if it is not known. */
+    getGeneration(): number | undefined {
+        return this.table.getGeneration();
     }
 
     /** Returns the state of the cache for the diagnostic dump. */
     getDump(): unknown {
         return {
             prefix: this.options.prefix,
-            entries: this.entries.size,
+            entries: this.table.getEntries().size,
             isWatching: this.closeWatch !== undefined,
-            missing: [...this.missingEntryDeadlines.keys()],
+            missing: this.missing.listKeys(),
+            generation: this.table.getGeneration(),
+            heldBack: this.table.countHeldBack(),
             readAgeMs: Math.round(this.options.context.clock.getNow() - this.lastReadAt),
         };
     }
 
-    private chooseNewer(entry: types.Entry): types.Entry {
-        const known = this.entries.get(entry.key);
-        return known !== undefined && known.revision > entry.revision ? known : entry;
+    private notifyChange(): void {
+        this.options.onChange(this.table.getEntries());
     }
 
     private recordProgress(dueMs: number): void {
@@ -206,42 +210,45 @@
         }
         this.retryDelayMs = minimumRetryDelayMs;
         const now = clock.getNow();
-        const newEntries = new Map(listing.value.entries.map(entry => [entry.key, entry]));
-        if (this.wasStoreUnreachable) {
-            this.graceEndsAt = now + reappearanceGraceMs;
-        }
-        if (this.wasStoreUnreachable || !this.hasReadEntries || this.uninterruptedSince === Infinity) {
-            this.uninterruptedSince = now;
-        }
-        this.wasStoreUnreachable = false;
-        const missingEntries = this.hasReadEntries && now < this.graceEndsAt ? [...this.entries].filter(([key]) => !newEntries.has(key)) : [];
-        missingEntries.forEach(([key, entry]) => this.addMissingEntry(key, entry, newEntries));
-        [...newEntries.keys()].filter(key => !missingEntries.some(([missingKey]) => missingKey === key)).forEach(key => this.missingEntryDeadlines.delete(key));
-        this.entries = newEntries;
+        const { isNewGeneration, missingKeys } = this.table.mergeListing(listing.value, isNew => this.startListing(isNew, now));
+        const { entries, generation, revision } = listing.value;
+        entries.forEach(({ key }) => this.missing.removeKey(key));
+        missingKeys.forEach(key => this.missing.addKey(key));
         this.hasReadEntries = true;
         this.lastReadAt = now;
         this.progress.recordAnswer(firstAnswerDueMs);
-        logger.writeInfo("directory-read", `${listing.value.entries.length} entries of ${prefix} were read`, { prefix, entries: listing.value.entries.length, revision: listing.value.revision, lapsed: missingEntries.length });
-        this.openWatch(listing.value.revision);
-        this.options.onChange(this.entries);
+        logger.writeInfo("directory-read", `${entries.length} entries of ${prefix} were read`, { prefix, entries: entries.length, revision, lapsed: missingKeys.length });
+        if (isNewGeneration) {
+            const heldBack = this.table.countHeldBack();
+            logger.writeWarning("directory-copy-read", `the store returned with an older copy of ${prefix}; ${heldBack} of its entries are not used`, { prefix, generation, heldBack });
+        }
+        this.openWatch(revision);
+        this.scheduleReread();
+        this.notifyChange();
         this.notifyMissing();
         this.lastUpdateAt = now;
     }
 
-    /** Keeps an entry that the store no longer lists. An outage may have ended the lease of a healthy upstream, whose entry then reappears within the grace period. */
-    private addMissingEntry(key: string, entry: types.Entry, newEntries: Map<string, types.Entry>): void {
-        newEntries.set(key, entry);
-        if (!this.missingEntryDeadlines.has(key)) {
-            this.addMissingKey(key);
+    /** Prepares for the entries of a read, and returns whether entries that are not listed stay because they may reappear. */
+    private startListing(isNewGeneration: boolean, now: number): boolean {
+        // A copy lacks what was written since it was taken; the writers write it again soon.
+        const wasUnreachable = this.wasStoreUnreachable || isNewGeneration;
+        if (wasUnreachable) {
+            this.missing.startGrace();
         }
+        if (wasUnreachable || !this.hasReadEntries || this.uninterruptedSince === Infinity) {
+            this.uninterruptedSince = now;
+        }
+        this.wasStoreUnreachable = false;
+        return this.hasReadEntries && this.missing.isGracePeriod();
     }
 
-    private addMissingKey(key: string): void {
-        if (this.missingEntryDeadlines.size === 0) {
-            this.stopGraceChecks();
-            this.stopGraceChecks = this.options.context.loop.scheduleRepeatedly(graceCheckIntervalMs, () => this.removeExpiredEntries());
+    /** Schedules another read for the end of the time for which entries of an older copy are held back. */
+    private scheduleReread(): void {
+        const delayMs = this.table.getRereadDelayMs();
+        if (delayMs !== undefined) {
+            this.scheduleRead(delayMs);
         }
-        this.missingEntryDeadlines.set(key, this.graceEndsAt);
     }
 
     private openWatch(revision: number): void {
@@ -262,9 +269,8 @@
             onProgress: dueMs => this.recordProgress(dueMs),
             onInterrupted: () => this.progress.recordFailure(),
             onResumed: () => {
-                const now = this.options.context.clock.getNow();
-                this.graceEndsAt = now + reappearanceGraceMs;
-                this.uninterruptedSince = now;
+                this.missing.startGrace();
+                this.uninterruptedSince = this.options.context.clock.getNow();
             },
         });
         this.closeWatch = close;
@@ -272,15 +278,15 @@
 
     private handleEvent(event: types.WatchEvent): void {
         if (event.kind === "put") {
-            this.missingEntryDeadlines.delete(event.entry.key);
-            this.entries.set(event.entry.key, event.entry);
+            this.missing.removeKey(event.entry.key);
+            this.table.setEntry(event.entry);
         }
-        else if (this.options.context.clock.getNow() < this.graceEndsAt) {
-            this.addMissingKey(event.key);
+        else if (this.missing.isGracePeriod()) {
+            this.missing.addKey(event.key);
         }
         else {
-            this.missingEntryDeadlines.delete(event.key);
-            this.entries.delete(event.key);
+            this.missing.removeKey(event.key);
+            this.table.removeEntry(event.key);
         }
         this.lastUpdateAt = this.options.context.clock.getNow();
         this.scheduleNotification();
@@ -294,24 +300,14 @@
         this.isNotificationScheduled = true;
         queueMicrotask(() => {
             this.isNotificationScheduled = false;
-            this.options.onChange(this.entries);
+            this.notifyChange();
             this.notifyMissing();
         });
     }
 
     private notifyMissing(): void {
-        if (this.missingEntryDeadlines.size > 0) {
+        if (this.missing.listKeys().length > 0) {
             this.options.onEntriesMissing?.();
         }
     }
-
-    private removeExpiredEntries(): void {
-        if (this.missingEntryDeadlines.size === 0) {
-            this.stopGraceChecks();
-        }
-        const now = this.options.context.clock.getNow();
-        if (this.closeWatch !== undefined) {
-            this.removeMissingEntries([...this.missingEntryDeadlines].filter(([, keepUntil]) => keepUntil <= now).map(([key]) => key));
-        }
-    }
 }
--- a/src/store/types.ts
+++ b/src/store/types.ts
@@ -4,12 +4,13 @@
 import type * as context from "../kernel/context.js";
 import type * as errors from "../kernel/errors.js";
 import * as serviceRegistry from "../kernel/serviceRegistry.js";
+import type * as storeGeneration from "./storeGeneration.js";
 
 /** A key and its stored value. */
 export interface Entry {
     readonly key: string;
     readonly value: string;
-    /** The revision of the store at the last write to the key. */
+    /** The revision of the store at the last write to the key; 0 if that was before the store returned with an older copy. */
     readonly revision: number;
 }
 
@@ -59,6 +60,8 @@
     readonly entries: readonly Entry[];
     /** The revision of the store at the time of the read. */
     readonly revision: number;
+    /** The generation of the store's contents; undefined if the store does not tell it. */
+    readonly generation?: number;
 }
 
 /** The result of a call. An error is always `storeUnavailable`; a write that failed may still have taken effect. */
@@ -77,6 +80,8 @@
     readonly close: () => void;
     /** Whether watches report the store's answers by `onProgress`; an instance follows peers only if they do. */
     readonly reportsProgress?: boolean;
+    /** The generation of the contents, learned from all responses; not all stores tell it. */
+    readonly generation?: storeGeneration.StoreGeneration;
 }
 
 /** The store service that plug-ins use. */
