Write member entries and claims of order keys again after the store returns with an older copy

Claims that were acknowledged after the copy was taken were gone, and another instance could be granted the key. Each instance now writes its claims of the last minute again and reports the generation to the others; nobody is granted a claim in a new generation before all known instances have reported. Six instances, or the relays, write their member entries within a second; the rest do so when their renewal is due.

--- a/src/membership/registration.ts
+++ b/src/membership/registration.ts
@@ -5,6 +5,7 @@
 import * as boundedJson from "../kernel/boundedJson.js";
 import type * as context from "../kernel/context.js";
 import type * as errors from "../kernel/errors.js";
+import * as randomness from "../kernel/randomness.js";
 import type * as peers from "../peers/index.js";
 import type * as store from "../store/index.js";
 
@@ -15,6 +16,14 @@
 /** How often an instance without links to peers reads the other members from the store. */
 const seedLookupIntervalMs = 3_000;
 const millisecondsPerSecond = 1_000;
+/**
+ * How many instances write their entries again at once after the store returned with an older copy. An instance that starts
+ * needs only some running instances to find the rest; the others write theirs when their renewal is due.
+ */
+const restoringInstances = 6;
+/** These writes are spread over this time, in milliseconds, and must be done within two seconds. */
+const restoreSpreadMs = 1_000;
+const restoreKey = "member-restore";
 
 const memberEntrySchema = z.object({ peerAddress: z.string() });
 
@@ -33,7 +42,9 @@
     private isUpdating = false;
     private isDraining = false;
 
-    constructor(private readonly options: CreateRegistrationOptions) {}
+    constructor(private readonly options: CreateRegistrationOptions) {
+        options.store.generation?.addListener((_generation, previous) => previous === undefined ? undefined : this.scheduleRestore());
+    }
 
     /** Writes the entry and starts the regular check. */
     start(): void {
@@ -44,10 +55,14 @@
     /** Removes the entry by ending its lease. */
     async drain(): Promise<void> {
         this.isDraining = true;
-        if (this.leaseId !== undefined) {
-            const removed = await this.options.store.removeLease(this.leaseId);
-            removed.mapErr(error => this.options.context.logger.writeInfo("member-entry-left", `could not remove the member entry from the store; it stays until its lease expires: ${error.message}`));
+        const { store: memberStore, context: { logger } } = this.options;
+        if (this.leaseId === undefined) {
+            return;
         }
+        // A store that returned with an older copy may have given the lease's number to another instance. A read tells.
+        const read: Result<unknown, errors.FleetError> = memberStore.generation === undefined ? ok(undefined) : await memberStore.getEntry(this.getKey());
+        const removed = await read.andThen(() => ok(this.leaseId)).match(leaseId => leaseId === undefined ? ok(undefined) : memberStore.removeLease(leaseId), async error => err(error));
+        removed.mapErr(error => logger.writeInfo("member-entry-left", `could not remove the member entry from the store; it stays until its lease expires: ${error.message}`));
     }
 
     private runCheck(): void {
@@ -64,6 +79,36 @@
         });
     }
 
+    /** Writes the entry again soon if this is one of the instances that do so. The lease is gone, or belongs to another instance. */
+    private scheduleRestore(): void {
+        const { context: { loop, randomness: random, logger } } = this.options;
+        this.leaseId = undefined;
+        if (!this.isRestorer()) {
+            return;
+        }
+        const delayMs = Math.round(random.getFraction() * restoreSpreadMs);
+        logger.writeInfo("member-restore-scheduled", `the entry of this instance is written to the store again in ${delayMs} ms`, { delayMs });
+        loop.scheduleOnce(delayMs, () => {
+            this.registeredAt = -Infinity;
+            this.runCheck();
+        });
+    }
+
+    /** Returns whether this instance is one of the few that write their entries again at once. In cells, only the relays follow the store. */
+    private isRestorer(): boolean {
+        const { mesh, context: { identity } } = this.options;
+        if (mesh.hasCells()) {
+            return mesh.isCellRelay();
+        }
+        const running = mesh.listMembers().filter(({ state }) => state === "running").map(({ instanceId }) => instanceId);
+        const candidates = [...new Set([...running, identity.instanceId])].map(id => ({ id, score: randomness.computeRendezvousScore(restoreKey, id) }));
+        return candidates.sort((a, b) => b.score - a.score).slice(0, restoringInstances).some(({ id }) => id === identity.instanceId);
+    }
+
+    private getKey(): string {
+        return `${this.getPrefix()}${this.options.context.identity.instanceId}`;
+    }
+
     private getPrefix(): string {
         return `${this.options.store.getPrefix()}members/`;
     }
@@ -75,7 +120,7 @@
             return;
         }
         const { context: { identity, settings, logger }, mesh, store: memberStore } = this.options;
-        const key = `${this.getPrefix()}${identity.instanceId}`;
+        const key = this.getKey();
         const lease = await memberStore.createLease(settings.memberLeaseS * millisecondsPerSecond);
         if (lease.isErr()) {
             return;
--- /dev/null
+++ b/src/orders/claimRestoration.ts
@@ -0,0 +1,174 @@
+/**
+ * Keeps the claims of order keys valid when the store returns with an older copy, in which the newest claims are missing.
+ * Every instance writes its recent claims again and then reports the store's generation to the others. Nobody is granted
+ * a claim in a new generation before all known instances have reported.
+ */
+
+import * as z from "zod";
+import { err, ok, type Result } from "neverthrow";
+import type * as context from "../kernel/context.js";
+import * as errors from "../kernel/errors.js";
+import type * as peers from "../peers/index.js";
+import type * as store from "../store/index.js";
+
+/** Claims are kept for this time before the newest one, in milliseconds. Copies that the store returns with are some seconds old. */
+const keptClaimsMs = 60_000;
+/** The most claims that are kept. The store takes some hundred writes a second from the whole fleet. */
+const maximumKeptClaims = 10_000;
+/** An instance that learns the generation may be the first to do so, and gives the others this time to learn it, in milliseconds. */
+const settlingMs = 2_000;
+/** A running instance that has not reported by then is of a release that does not report, in milliseconds. */
+const reportDueMs = 10_000;
+/** The longest time for which a claim waits for the reports, in milliseconds. */
+const maximumWaitMs = 2_500;
+const checkIntervalMs = 100;
+/** After this delay, claims that could not be written are written again. */
+const retryDelayMs = 250;
+/** Instances that hear of a newer generation from a peer ask the store within this time, in milliseconds. */
+const lookupSpreadMs = 300;
+const topic = "orders.generation";
+const reportSchema = z.object({ generation: z.number().int().min(0) });
+
+/** Options of `ClaimRestoration`. */
+export interface CreateClaimRestorationOptions {
+    readonly context: Pick<context.Context, "clock" | "loop" | "logger" | "randomness" | "identity">;
+    readonly store: store.StoreService;
+    readonly mesh: Pick<peers.Mesh, "setRegister" | "getRegisters" | "addListener" | "listMembers">;
+    /** Writes a claim that this instance was granted; returns whether it replaced another instance's, or an error if it may not be written. */
+    readonly writeClaim: (storeKey: string, claim: string) => Promise<Result<boolean, errors.FleetError>>;
+}
+
+interface KeptClaim {
+    readonly value: string;
+    /** When it was granted, in monotonic milliseconds. */
+    readonly grantedAt: number;
+}
+
+/** Writes granted claims again after the store returned with an older copy, and decides when claims may be granted. */
+export class ClaimRestoration {
+    private readonly claims = new Map<string, KeptClaim>();
+    private learnedAt = -Infinity;
+    private learnedGeneration: number | undefined;
+    /** Whether the generation replaced another one while this instance was running. */
+    private hasChanged = false;
+    private isLookupScheduled = false;
+
+    constructor(private readonly options: CreateClaimRestorationOptions) {
+        const { store: storeService, mesh } = options;
+        storeService.generation?.addListener((generation, previous) => previous === undefined ? this.getGeneration() : void this.restoreClaims(generation));
+        mesh.addListener(topic, (_origin, body) => this.receiveReport(body));
+    }
+
+    /** Keeps a claim that was granted to this instance. */
+    recordClaim(storeKey: string, value: string): void {
+        const now = this.options.context.clock.getNow();
+        this.claims.set(storeKey, { value, grantedAt: now });
+        for (const [key, { grantedAt }] of this.claims) {
+            if (now - grantedAt <= keptClaimsMs && this.claims.size <= maximumKeptClaims) {
+                break;
+            }
+            this.claims.delete(key);
+        }
+    }
+
+    /** Waits until claims may be granted, or fails if that takes long. */
+    async waitUntilGranted(): Promise<Result<void, errors.FleetError>> {
+        const { context: { clock, loop } } = this.options;
+        const giveUpAt = clock.getNow() + maximumWaitMs;
+        while (!this.isGranted()) {
+            if (clock.getNow() >= giveUpAt) {
+                return err(errors.createError("storeUnavailable", "the store returned with an older copy, and instances have not written their claims of order keys again"));
+            }
+            await new Promise<void>(resolve => loop.scheduleOnce(checkIntervalMs, resolve));
+        }
+        return ok(undefined);
+    }
+
+    /** Returns whether a claim may be granted in the store's generation: every instance that may hold earlier claims has written them. */
+    isGranted(): boolean {
+        const { context: { clock, identity }, mesh } = this.options;
+        const generation = this.getGeneration();
+        if (generation === undefined) {
+            return true;
+        }
+        const ageMs = clock.getNow() - this.learnedAt;
+        if (ageMs < settlingMs) {
+            return false;
+        }
+        const reports = this.listReports();
+        if (!this.hasChanged && ![...reports.values()].some(reported => reported >= generation)) {
+            return true;
+        }
+        return mesh.listMembers().every(({ instanceId, state }) => instanceId === identity.instanceId || (reports.get(instanceId) ?? -1) >= generation || (ageMs >= reportDueMs && state !== "suspect"));
+    }
+
+    /** Returns the generation, and records when it was first seen. */
+    private getGeneration(): number | undefined {
+        const generation = this.options.store.generation?.getCurrent();
+        if (generation !== this.learnedGeneration) {
+            this.learnedGeneration = generation;
+            this.learnedAt = this.options.context.clock.getNow();
+        }
+        return generation;
+    }
+
+    private listReports(): ReadonlyMap<string, number> {
+        return new Map([...this.options.mesh.getRegisters(topic)].map(([origin, body]) => [origin, reportSchema.safeParse(body).data?.generation ?? -1]));
+    }
+
+    /** Writes the kept claims again, then reports the generation to the others. Ends early if yet another generation follows. */
+    private async restoreClaims(generation: number): Promise<void> {
+        const { context: { logger, loop }, store: storeService, writeClaim } = this.options;
+        this.hasChanged = true;
+        this.getGeneration();
+        const pending = new Map(this.claims);
+        const count = pending.size;
+        while (pending.size > 0) {
+            for (const [storeKey, { value }] of [...pending]) {
+                const written = await writeClaim(storeKey, value);
+                if (storeService.generation?.getCurrent() !== generation) {
+                    return;
+                }
+                if (written.isErr()) {
+                    logger.writeInfo("order-claim-rewrite-failed", `a claim of an order key could not be written again yet: ${written.error.message}`, { pending: pending.size });
+                    await new Promise<void>(resolve => loop.scheduleOnce(retryDelayMs, resolve));
+                    break;
+                }
+                pending.delete(storeKey);
+                if (written.value) {
+                    logger.writeWarning("order-claim-replaced", "replaced another instance's claim of an order key that this instance was granted before the store returned with an older copy", { storeKey });
+                }
+            }
+        }
+        if (count > 0) {
+            logger.writeInfo("order-claims-restored", `${count} claims of order keys were written again after the store returned with an older copy`, { claims: count, generation });
+        }
+        this.publishReport(generation);
+    }
+
+    private publishReport(generation: number): void {
+        this.options.mesh.setRegister(topic, { generation });
+    }
+
+    /** Learns of a newer generation from a peer. An instance that does not follow the store asks it, so that it is not misled by a peer. */
+    private receiveReport(body: unknown): void {
+        const { context: { loop, randomness, identity }, store: storeService } = this.options;
+        const reported = reportSchema.safeParse(body).data?.generation;
+        const generation = this.getGeneration();
+        if (reported === undefined || generation === undefined) {
+            return;
+        }
+        if (reported === generation && !this.hasChanged && (this.listReports().get(identity.instanceId) ?? -1) < generation) {
+            // This process has known no other generation, so it holds no claims of one.
+            this.publishReport(generation);
+        }
+        if (reported > generation && !this.isLookupScheduled) {
+            this.isLookupScheduled = true;
+            loop.scheduleOnce(Math.round(randomness.getFraction() * lookupSpreadMs), () => {
+                this.isLookupScheduled = false;
+                // The response tells the generation, and the listener then writes the claims.
+                void storeService.getEntry(`${storeService.getPrefix()}orders/`);
+            });
+        }
+    }
+}
--- a/src/orders/index.ts
+++ b/src/orders/index.ts
@@ -18,7 +18,7 @@
             context,
             executor: context.services.getService(requests.executorKey),
             mesh: context.services.getService(peers.meshKey),
-            claims: new orderKeyClaims.OrderKeyClaims(context, context.services.getService(store.storeKey)),
+            claims: new orderKeyClaims.OrderKeyClaims(context, context.services.getService(store.storeKey), context.services.getService(peers.meshKey)),
         });
         context.services.setService(orderService.orderServiceKey, created);
         return { start: async () => created.start(), getDump: () => created.getDump() };
--- a/src/orders/orderKeyClaims.ts
+++ b/src/orders/orderKeyClaims.ts
@@ -7,6 +7,7 @@
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import type * as store from "../store/index.js";
+import * as claimRestoration from "./claimRestoration.js";
 
 /** A lease is reused for new claims during this fraction of the claim lifetime, so that most claims need only one call to the store. */
 const leaseReuseFraction = 0.5;
@@ -37,8 +38,12 @@
 /** Claims order keys for this instance and finds the owners of other keys. */
 export class OrderKeyClaims {
     private lease?: SharedLease;
+    private readonly restoration: claimRestoration.ClaimRestoration;
 
-    constructor(private readonly context: context.Context, private readonly storeService: store.StoreService) {}
+    constructor(private readonly context: context.Context, private readonly storeService: store.StoreService, mesh: claimRestoration.CreateClaimRestorationOptions["mesh"]) {
+        this.restoration = new claimRestoration.ClaimRestoration({ context, store: storeService, mesh, writeClaim: (storeKey, value) => this.writeClaim(storeKey, value) });
+        storeService.generation?.addListener(() => this.lease = undefined);
+    }
 
     /**
      * Claims a key for this instance, or finds the instance that owns it.
@@ -46,24 +51,35 @@
      * @returns An error if the store did not respond; the claim may have been written nevertheless.
      */
     async claimKey(key: string): Promise<Result<ClaimResult, errors.FleetError>> {
-        const lease = await this.getLease();
-        if (lease.isErr()) {
-            return err(lease.error);
-        }
         const { instanceId, incarnation } = this.context.identity;
         const ownClaim: Claim = { owner: instanceId, incarnation, expiresAtMs: this.context.clock.getNow() + this.context.settings.orderClaimTtlMs };
-        const swap = { key: this.getStoreKey(key), expectedRevision: 0, value: JSON.stringify(ownClaim), leaseId: lease.value.id };
+        const storeKey = this.getStoreKey(key);
+        const value = JSON.stringify(ownClaim);
         let failure = errors.createError("storeUnavailable");
         for (let attempt = 0; attempt < claimAttempts; attempt += 1) {
-            const reply = await this.storeService.swapEntry(swap);
+            const lease = await this.getLease();
+            if (lease.isErr()) {
+                return err(lease.error);
+            }
+            // The lease's response may have told a new generation, so this wait comes right before the write.
+            const granted = await this.restoration.waitUntilGranted();
+            if (granted.isErr()) {
+                return err(granted.error);
+            }
+            const reply = await this.storeService.swapEntry({ key: storeKey, expectedRevision: 0, value, leaseId: lease.value.id });
             if (reply.isErr()) {
                 failure = reply.error;
                 continue;
             }
             if (reply.value.kind === "swapped") {
+                this.restoration.recordClaim(storeKey, value);
                 return ok({ kind: "claimed", expiresAt: ownClaim.expiresAtMs });
             }
-            return this.resolveConflict(reply.value.current);
+            const resolved = this.resolveConflict(reply.value.current);
+            if (resolved.isOk() && resolved.value.kind === "claimed") {
+                this.restoration.recordClaim(storeKey, reply.value.current?.value ?? value);
+            }
+            return resolved;
         }
         this.lease = undefined;
         return err(errors.createError("storeUnavailable", `the order key could not be claimed: ${failure.message}`));
@@ -82,6 +98,31 @@
         return ok({ kind: "owned", claim });
     }
 
+    /**
+     * Writes a granted claim again. A claim of another instance that is found was written when its writer had not yet learned
+     * that the store had returned with an older copy, so it was not granted and is replaced.
+     * @returns Whether a claim was replaced.
+     */
+    private async writeClaim(storeKey: string, value: string, replacedRevision = 0): Promise<Result<boolean, errors.FleetError>> {
+        const lease = await this.getLease();
+        if (lease.isErr()) {
+            return err(lease.error);
+        }
+        const reply = await this.storeService.swapEntry({ key: storeKey, expectedRevision: replacedRevision, value, leaseId: lease.value.id });
+        if (reply.isErr()) {
+            return err(reply.error);
+        }
+        if (reply.value.kind === "swapped") {
+            return ok(replacedRevision > 0);
+        }
+        const { current } = reply.value;
+        const resolved = this.resolveConflict(current);
+        if (resolved.isOk() && resolved.value.kind === "claimed") {
+            return ok(false);
+        }
+        return replacedRevision > 0 || current === undefined ? err(errors.createError("storeUnavailable", "the claim of the order key changes")) : this.writeClaim(storeKey, value, current.revision);
+    }
+
     private async getLease(): Promise<Result<SharedLease, errors.FleetError>> {
         const { clock, settings } = this.context;
         const now = clock.getNow();
