Test claims of order keys over returns of the store, and be stricter about silent instances

An instance that has not reported is now taken for an older release only after 20 s without being suspect; before, 10 s after the generation was learned were enough, also right after a suspension.

--- a/src/orders/claimRestoration.ts
+++ b/src/orders/claimRestoration.ts
@@ -17,8 +17,11 @@
 const maximumKeptClaims = 10_000;
 /** An instance that learns the generation may be the first to do so, and gives the others this time to learn it, in milliseconds. */
 const settlingMs = 2_000;
-/** A running instance that has not reported by then is of a release that does not report, in milliseconds. */
-const reportDueMs = 10_000;
+/**
+ * An instance that was never suspect for this time, and has not reported, is of a release that does not report, in
+ * milliseconds. It is well above the time after which a suspended instance is suspect.
+ */
+const reportDueMs = 20_000;
 /** The longest time for which a claim waits for the reports, in milliseconds. */
 const maximumWaitMs = 2_500;
 const checkIntervalMs = 100;
@@ -52,6 +55,8 @@
     /** Whether the generation replaced another one while this instance was running. */
     private hasChanged = false;
     private isLookupScheduled = false;
+    /** Since when instances have been known that have not reported the generation, and were not suspect, in monotonic milliseconds. */
+    private readonly silentSince = new Map<string, number>();
 
     constructor(private readonly options: CreateClaimRestorationOptions) {
         const { store: storeService, mesh } = options;
@@ -91,15 +96,17 @@
         if (generation === undefined) {
             return true;
         }
-        const ageMs = clock.getNow() - this.learnedAt;
-        if (ageMs < settlingMs) {
+        const now = clock.getNow();
+        if (now - this.learnedAt < settlingMs) {
             return false;
         }
         const reports = this.listReports();
         if (!this.hasChanged && ![...reports.values()].some(reported => reported >= generation)) {
             return true;
         }
-        return mesh.listMembers().every(({ instanceId, state }) => instanceId === identity.instanceId || (reports.get(instanceId) ?? -1) >= generation || (ageMs >= reportDueMs && state !== "suspect"));
+        const silent = mesh.listMembers().filter(({ instanceId }) => instanceId !== identity.instanceId && (reports.get(instanceId) ?? -1) < generation);
+        silent.forEach(({ instanceId, state }) => this.silentSince.set(instanceId, state === "suspect" ? now : this.silentSince.get(instanceId) ?? now));
+        return silent.every(({ instanceId }) => now - this.silentSince.get(instanceId)! >= reportDueMs);
     }
 
     /** Returns the generation, and records when it was first seen. */
@@ -108,6 +115,7 @@
         if (generation !== this.learnedGeneration) {
             this.learnedGeneration = generation;
             this.learnedAt = this.options.context.clock.getNow();
+            this.silentSince.clear();
         }
         return generation;
     }
--- a/test/harness/virtualTime.ts
+++ b/test/harness/virtualTime.ts
@@ -25,15 +25,29 @@
     /** Advances the clock and runs the timers that become due. */
     addTime(durationMs: number): void {
         const until = this.now + durationMs;
-        while (true) {
-            const next = this.tasks.filter(({ at }) => at <= until).sort((a, b) => a.at - b.at)[0];
-            if (next === undefined) {
-                break;
-            }
-            this.tasks = this.tasks.filter(scheduled => scheduled !== next);
-            this.now = next.at;
-            next.run();
+        while (this.runNext(until)) {
+            // Each timer may schedule others that become due as well.
         }
         this.now = until;
     }
+
+    /** Advances the clock like `addTime`, and runs the pending promise callbacks after each timer, as Node.js does. */
+    async runTime(durationMs: number, runPending: () => Promise<void>): Promise<void> {
+        const until = this.now + durationMs;
+        while (this.runNext(until)) {
+            await runPending();
+        }
+        this.now = until;
+    }
+
+    private runNext(until: number): boolean {
+        const next = this.tasks.filter(({ at }) => at <= until).sort((a, b) => a.at - b.at)[0];
+        if (next === undefined) {
+            return false;
+        }
+        this.tasks = this.tasks.filter(scheduled => scheduled !== next);
+        this.now = next.at;
+        next.run();
+        return true;
+    }
 }
