--- a/test/soak/faultInjection.ts
+++ b/test/soak/faultInjection.ts
@@ -29,6 +29,9 @@
 const slowLinkMs = 150;
 /** The number of store replies lost in one fault. */
 const lostReplies = 5;
+/** The age of the copy with which the store returns, and the time until what was written since is written again. */
+const copyAgeMs = 2_000;
+const rewriteAfterMs = 500;
 /** The interval between two versions of a configuration storm. It is shorter than the time for which a watch batches events. */
 const stormIntervalMs = 150;
 
@@ -55,6 +58,7 @@
         storeLosesReplies: () => runOnStore(options, { lostReplies }),
         storeForgets: () => runOnStore(options, { dropHistory: true, cutWatches: true }),
         storeRevokes: () => options.system.runExclusively(`w${getWorkerIndex(options)}`, () => runLeaseRevocation(options)),
+        storeReturns: () => runStoreReturn(options),
         storeCut: () => runOnLink(options, "storeLink"),
         peersCut: () => runOnLink(options, "peerLink"),
         instanceFreezes: () => runOnInstances(options, runFreeze),
@@ -114,13 +118,13 @@
     await registerAgain(options);
 }
 
-async function runOnStore(options: RunFaultOptions, change: object): Promise<void> {
+async function runOnStore(options: RunFaultOptions, change: object, restored: object = {}): Promise<void> {
     const { system, checker, fault: { durationMs } } = options;
     await system.runExclusively("store", async () => {
         const endDisturbance = checker.addDisturbance("all", performance.now(), "store");
         await system.platform.store.setBehaviour(change);
         await callers.wait(durationMs);
-        await system.platform.store.setBehaviour({ failure: "none", delayMs: 0, lostReplies: 0 });
+        await system.platform.store.setBehaviour({ failure: "none", delayMs: 0, lostReplies: 0, ...restored });
         endDisturbance(performance.now());
     });
 }
@@ -132,6 +136,13 @@
     await registerAgain(options);
 }
 
+/** Takes a copy of the store, with which the store returns after an outage. The operator and the workers then write again what they wrote since. */
+async function runStoreReturn(options: RunFaultOptions): Promise<void> {
+    await options.system.platform.store.setBehaviour({ takeCopy: true });
+    await callers.wait(copyAgeMs);
+    await runOnStore(options, { failure: options.fault.variant }, { restoreCopy: { rewriteAfterMs } });
+}
+
 async function runOnLink(options: RunFaultOptions, link: "storeLink" | "peerLink"): Promise<void> {
     const { system, checker, fault: { variant, durationMs, target } } = options;
     const soakInstance = system.instances[target % system.instances.length]!;
--- a/test/soak/plan.ts
+++ b/test/soak/plan.ts
@@ -14,6 +14,7 @@
     storeLosesReplies: [""],
     storeForgets: [""],
     storeRevokes: ["reset", "silent"],
+    storeReturns: ["reset", "silent"],
     storeCut: ["forward", "backward", "both", "reset"],
     peersCut: ["forward", "backward", "both", "reset", "slow"],
     instanceFreezes: ["one", "some"],
