Share the slots of a rank between workspaces by max-min fairness

Cause: queued requests of a rank were served in the order of arrival, so a workspace that sends eight times its usual rate took the slots of all others; a full queue refused whoever came next, and a request that could not be in time any more was refused only when it reached the head of its queue.

Change: admission/fairQueue.ts is a start-time fair queue over expected slot time, corrected by what each workspace's requests usually take. A full queue refuses a request of the workspace that holds most of it, the one with the least time to spare. A request is refused when its latest start passes, wherever it is in the queue, and on arrival if its workspace's backlog is expected to take too long.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -101,7 +101,16 @@
         }
         for (const service of Object.keys(document.services)) {
             if (!this.schedulers.has(service)) {
-                this.schedulers.set(service, new scheduler.Scheduler({ ...this.options, service, ranks: document.ranks, recordQueueTime: (rank, queuedMs) => this.queueTimes.observe({ service, rank }, queuedMs / millisecondsPerSecond) }));
+                this.schedulers.set(
+                    service,
+                    new scheduler.Scheduler({
+                        ...this.options,
+                        service,
+                        ranks: document.ranks,
+                        recordQueueTime: (rank, queuedMs) => this.queueTimes.observe({ service, rank }, queuedMs / millisecondsPerSecond),
+                        hasFairShares: () => this.options.configuration.getCurrent()?.needsKeys ?? false,
+                    }),
+                );
             }
         }
     }
--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -1,4 +1,4 @@
-/** Queues a service's requests by rank and assigns them to upstreams as slots become free. */
+/** Queues a service's requests by rank and workspace, and assigns them to upstreams as slots become free. */
 
 import { err, ok, type Result } from "neverthrow";
 import { match } from "ts-pattern";
@@ -7,6 +7,9 @@
 import * as errors from "../kernel/errors.js";
 import type * as loop from "../kernel/loop.js";
 import type * as pool from "../pool/index.js";
+import * as fairQueue from "./fairQueue.js";
+import * as queuedRequest from "./queuedRequest.js";
+import * as queueForecast from "./queueForecast.js";
 import * as rankUsageTracker from "./rankUsageTracker.js";
 import * as requestedPauses from "./requestedPauses.js";
 import type * as types from "./types.js";
@@ -15,14 +18,6 @@
 const redispatchDelayMs = 25;
 /** Number of requests at the head of a rank's queue that are tried when the first ones may not use the free upstreams. */
 const queueScanLimit = 8;
-/** A request is sent only if the time left before its deadline is at least this multiple of the route's median latency. */
-const minimumLatencyMultiple = 1.5;
-/**
- * Upper bound on the required remaining time, as a fraction of the time that the request had when it was queued.
- * Without it, a route that was slow once would be rejected forever, because only sent requests yield new latency samples.
- */
-const maximumTimeFraction = 0.5;
-
 /** Options of `Scheduler`. */
 export interface CreateSchedulerOptions {
     readonly context: context.Context;
@@ -34,75 +29,115 @@
     readonly formatUpstreamSummary: types.FormatUpstreamSummary;
     /** Records the queue time of a request that got a slot. */
     readonly recordQueueTime?: (rank: string, queuedMs: number) => void;
+    /** Returns whether slots are shared between workspaces; by default, all requests of a rank form one group. */
+    readonly hasFairShares?: () => boolean;
 }
 
-interface QueuedRequest {
-    readonly request: types.SlotRequest;
-    readonly resolve: (result: Result<types.Slot, errors.FleetError>) => void;
-    readonly cancelTimer: loop.Cancel;
-    readonly queuedAt: number;
+/** The requests of one rank. */
+interface RankQueue {
+    readonly requests: queuedRequest.RequestQueue;
+    readonly forecast: queueForecast.QueueForecast;
 }
 
 /** The request queues of one service at this instance, one queue per rank. */
 export class Scheduler {
-    private readonly queues: QueuedRequest[][];
+    private readonly queues: readonly RankQueue[];
     private readonly rankUsage: rankUsageTracker.RankUsageTracker;
     private cancelRedispatch?: loop.Cancel;
 
     constructor(private readonly options: CreateSchedulerOptions) {
-        this.queues = options.ranks.map(() => []);
+        this.queues = options.ranks.map(() => ({ requests: new fairQueue.FairQueue<queuedRequest.QueuedRequest>(), forecast: new queueForecast.QueueForecast() }));
         this.rankUsage = new rankUsageTracker.RankUsageTracker(options.ranks.map(rank => rank.guaranteedShare), options.context.clock.getNow());
     }
 
     /** Waits for a slot at an upstream. An error means that no attempt was made. */
     acquireSlot(request: types.SlotRequest): Promise<Result<types.Slot, errors.FleetError>> {
-        const { settings, loop: timers, clock } = this.options.context;
-        const queue = this.queues[request.rankIndex]!;
+        const { settings: { queueing }, clock } = this.options.context;
         const now = clock.getNow();
-        if (queue.length >= settings.queueLength) {
-            return Promise.resolve(err(errors.createError("overloaded", `the queue of the request's rank is full with ${queue.length} requests`)));
-        }
         if (request.signal.aborted) {
             return Promise.resolve(err(errors.createError("callerGone")));
         }
+        // The setting `fifo` serves the oldest request first, whoever sent it.
+        const workspace = queueing !== "fifo" && (this.options.hasFairShares?.() ?? false) ? request.workspace : "";
         return new Promise(resolve => {
-            const remove = (error: errors.FleetError) => {
-                const index = queue.indexOf(queued);
-                if (index >= 0) {
-                    queue.splice(index, 1);
-                }
-                this.resolveRequest(queued, err(error));
-            };
-            const onAbort = () => remove(request.getAbortError());
-            const queued: QueuedRequest = {
+            const onAbort = () => this.rejectRequest(queued, request.getAbortError());
+            const queued: queuedRequest.QueuedRequest = {
                 request,
+                workspace,
+                cost: queuedRequest.computeExpectedCost(request),
                 queuedAt: now,
                 resolve: result => {
                     request.signal.removeEventListener("abort", onAbort);
                     resolve(result);
                 },
-                cancelTimer: timers.scheduleOnce(Math.max(0, request.deadlineAt - now), () => remove(errors.createError("deadlineBeforeSend"))),
+                cancelTimer: () => {},
             };
             request.signal.addEventListener("abort", onAbort, { once: true });
-            if (queue.length === 0) {
-                this.rankUsage.recordBacklog(request.rankIndex, now);
+            if (this.addToQueue(queued, now)) {
+                this.scheduleRejection(queued);
+                this.dispatch();
             }
-            if (request.isRetry) {
-                queue.unshift(queued);
+        });
+    }
+
+    /** Queues a request, or refuses it or another one if the queue is full or if its turn is expected to come too late. Returns whether it is queued. */
+    private addToQueue(queued: queuedRequest.QueuedRequest, now: number): boolean {
+        const { request, workspace } = queued;
+        const { requests, forecast } = this.queues[request.rankIndex]!;
+        const { queueLength } = this.options.context.settings;
+        if (requests.getSize() >= queueLength) {
+            const refused = queuedRequest.chooseRefused(requests, queued, forecast.getIntervalMs(now) ?? queued.cost);
+            this.rejectRequest(refused, errors.createError("overloaded", `the queue of the request's rank is full with ${requests.getSize()} requests`));
+            if (refused === queued) {
+                return false;
             }
-            else {
-                queue.push(queued);
+        }
+        if (requests.getSize() === 0) {
+            this.rankUsage.recordBacklog(request.rankIndex, now);
+            forecast.recordBacklog(now);
+            if (this.rankUsage.getInFlight(request.rankIndex) === 0) {
+                requests.removeHistory();
             }
-            this.dispatch();
+        }
+        requests.add(queued, { workspace, cost: queued.cost, isFirst: request.isRetry });
+        const intervalMs = forecast.getIntervalMs(now);
+        if (workspace === "" || request.isRetry || intervalMs === undefined) {
+            return true;
+        }
+        const waitMs = requests.countServedUpTo(workspace) * intervalMs;
+        const retryAfterMs = queuedRequest.computeExpectedDelayMs(queued, waitMs);
+        if (retryAfterMs === undefined) {
+            return true;
+        }
+        this.rejectRequest(queued, { ...errors.createError("deadlineBeforeSend", `the request's turn is expected in ${Math.round(waitMs)} ms, which is too late for its deadline`), retryAfterMs: Math.round(retryAfterMs) });
+        return false;
+    }
+
+    /** Rejects a request as soon as it can no longer be answered in time, wherever it is in the queue. */
+    private scheduleRejection(queued: queuedRequest.QueuedRequest): void {
+        const { loop: timers, clock } = this.options.context;
+        const remainingMs = queuedRequest.computeLatestStart(queued) - clock.getNow();
+        queued.cancelTimer = timers.scheduleOnce(Math.max(1, remainingMs + 1), () => {
+            // The route's median latency may have changed meanwhile.
+            if (clock.getNow() < queuedRequest.computeLatestStart(queued)) {
+                this.scheduleRejection(queued);
+                return;
+            }
+            this.rejectRequest(queued, errors.createError("deadlineBeforeSend", "the time that was left for the request became too short while it was queued"));
         });
     }
 
+    private rejectRequest(queued: queuedRequest.QueuedRequest, error: errors.FleetError): void {
+        this.queues[queued.request.rankIndex]!.requests.remove(queued);
+        this.resolveRequest(queued, err(error));
+    }
+
     /** Starts queued requests until no further request can get a slot. */
     dispatch(): void {
         while (this.dispatchNext()) {
             // Each iteration starts one request.
         }
-        const hasQueuedRequests = this.queues.some(queue => queue.length > 0);
+        const hasQueuedRequests = this.queues.some(({ requests }) => requests.getSize() > 0);
         if (hasQueuedRequests && this.cancelRedispatch === undefined) {
             this.cancelRedispatch = this.options.context.loop.scheduleOnce(redispatchDelayMs, () => {
                 this.cancelRedispatch = undefined;
@@ -113,13 +148,10 @@
 
     /** Rejects every queued request for which the callback returns an error. */
     rejectQueued(getError: (request: types.SlotRequest) => errors.FleetError | undefined): void {
-        for (const queue of this.queues) {
-            for (const queued of [...queue]) {
-                const error = getError(queued.request);
-                if (error !== undefined) {
-                    queue.splice(queue.indexOf(queued), 1);
-                    this.resolveRequest(queued, err(error));
-                }
+        for (const queued of this.queues.flatMap(({ requests }) => requests.listAll())) {
+            const error = getError(queued.request);
+            if (error !== undefined) {
+                this.rejectRequest(queued, error);
             }
         }
     }
@@ -128,7 +160,7 @@
     getDemand(): readonly types.RankDemand[] {
         return this.options.ranks.map((rank, index) => ({
             rank: rank.name,
-            queued: this.queues[index]!.length,
+            queued: this.queues[index]!.requests.getSize(),
             inFlight: this.rankUsage.getInFlight(index),
         }));
     }
@@ -136,7 +168,7 @@
     /** Returns the state of every rank's queue for the operators' dump. */
     getDump(): unknown {
         const usageFractions = this.rankUsage.getUsageFractions();
-        return this.getDemand().map((demand, index) => ({ ...demand, guaranteedShare: this.options.ranks[index]!.guaranteedShare, recentShare: usageFractions[index] }));
+        return this.getDemand().map((demand, index) => ({ ...demand, guaranteedShare: this.options.ranks[index]!.guaranteedShare, recentShare: usageFractions[index], workspaces: this.queues[index]!.requests.countByWorkspace().size }));
     }
 
     private dispatchNext(): boolean {
@@ -158,18 +190,22 @@
         return match(this.options.context.settings.queueing)
             .with("shares", () => this.rankUsage.listRanksByPriority(now))
             .with("strict", () => ranks)
-            .with("fifo", () => ranks.sort((a, b) => (this.queues[a]![0]?.queuedAt ?? Infinity) - (this.queues[b]![0]?.queuedAt ?? Infinity)))
+            .with("fifo", () => ranks.sort((a, b) => this.getOldestQueuedAt(a) - this.getOldestQueuedAt(b)))
             .exhaustive();
     }
 
+    private getOldestQueuedAt(rank: number): number {
+        return this.queues[rank]!.requests.listNext(1)[0]?.queuedAt ?? Infinity;
+    }
+
     private startNextOfRank(rank: number, now: number): boolean {
         const servicePool = this.options.pool.getServicePool(this.options.service);
-        const queue = this.queues[rank]!;
-        this.rejectDuringPause(queue, servicePool?.upstreams ?? [], now);
-        for (const [index, queued] of queue.slice(0, queueScanLimit).entries()) {
+        const { requests } = this.queues[rank]!;
+        this.rejectDuringPause(requests, servicePool?.upstreams ?? [], now);
+        for (const queued of requests.listNext(queueScanLimit)) {
             const chosen = this.options.chooseUpstream(queued.request, servicePool?.upstreams ?? [], now, now - queued.queuedAt);
             if (chosen !== undefined) {
-                queue.splice(index, 1);
+                requests.take(queued);
                 this.startRequest(queued, chosen, now);
                 return true;
             }
@@ -177,8 +213,10 @@
         return false;
     }
 
-    private startRequest(queued: QueuedRequest, upstream: pool.Upstream, now: number): void {
+    private startRequest(queued: queuedRequest.QueuedRequest, upstream: pool.Upstream, now: number): void {
         const { request } = queued;
+        const { requests, forecast } = this.queues[request.rankIndex]!;
+        forecast.recordStart(now);
         const upstreamSummary = this.options.formatUpstreamSummary(upstream, now);
         const attempt = this.options.pool.startAttempt(upstream, request.route, request.rankIndex);
         this.rankUsage.addInFlight(request.rankIndex, now);
@@ -196,7 +234,9 @@
                         return;
                     }
                     isReleased = true;
-                    this.rankUsage.removeInFlight(request.rankIndex, this.options.context.clock.getNow());
+                    const endedAt = this.options.context.clock.getNow();
+                    requests.recordUsage(queued.workspace, queued.cost, endedAt - now);
+                    this.rankUsage.removeInFlight(request.rankIndex, endedAt);
                     this.options.pool.finishAttempt(upstream, attempt, outcome);
                 },
             }),
@@ -205,37 +245,30 @@
 
     /** Rejects requests at the head of the queue that can no longer be answered before their deadline, to save slots for others. */
     private rejectLateRequests(rank: number, now: number): void {
-        const queue = this.queues[rank]!;
-        let first = queue[0];
-        while (first !== undefined && first.request.deadlineAt - now < computeMinimumRemainingMs(first)) {
-            queue.shift();
-            this.resolveRequest(first, err(errors.createError("deadlineBeforeSend", "the remaining time before the deadline was too short when the request reached the head of the queue")));
-            first = queue[0];
+        const { requests } = this.queues[rank]!;
+        let first = requests.listNext(1)[0];
+        while (first !== undefined && first.request.deadlineAt - now < queuedRequest.computeMinimumRemainingMs(first)) {
+            this.rejectRequest(first, errors.createError("deadlineBeforeSend", "the remaining time before the deadline was too short when the request reached the head of the queue"));
+            first = requests.listNext(1)[0];
         }
     }
 
     /** Rejects requests that no upstream has run while every upstream has asked for a pause. Others have nothing to gain from a rejection and wait. */
-    private rejectDuringPause(queue: QueuedRequest[], upstreams: readonly pool.Upstream[], now: number): void {
+    private rejectDuringPause(requests: queuedRequest.RequestQueue, upstreams: readonly pool.Upstream[], now: number): void {
         const isAnyTaking = upstreams.some(candidate => !candidate.isLeaving(now) && candidate.getRequestedPauseMs(now) === 0);
         if (isAnyTaking || upstreams.length === 0) {
             return;
         }
-        for (const queued of queue.filter(({ request }) => !request.mayHaveRun)) {
+        for (const queued of requests.listAll().filter(({ request }) => !request.mayHaveRun)) {
             const retryAfterMs = requestedPauses.computeRefusalDelayMs({ upstreams, now, targetLatencyMs: queued.request.targetLatencyMs });
             if (retryAfterMs !== undefined) {
-                queue.splice(queue.indexOf(queued), 1);
-                this.resolveRequest(queued, err({ ...errors.createError("overloaded", `every upstream has asked for no requests, for ${Math.round(retryAfterMs)} ms at least`), retryAfterMs }));
+                this.rejectRequest(queued, { ...errors.createError("overloaded", `every upstream has asked for no requests, for ${Math.round(retryAfterMs)} ms at least`), retryAfterMs });
             }
         }
     }
 
-    private resolveRequest(queued: QueuedRequest, result: Result<types.Slot, errors.FleetError>): void {
+    private resolveRequest(queued: queuedRequest.QueuedRequest, result: Result<types.Slot, errors.FleetError>): void {
         queued.cancelTimer();
         queued.resolve(result);
     }
 }
-
-/** Computes the time before the deadline that a request needs to be sent, in milliseconds. */
-function computeMinimumRemainingMs({ request, queuedAt }: QueuedRequest): number {
-    return Math.min((request.getMedianLatencyMs() ?? 0) * minimumLatencyMultiple, (request.deadlineAt - queuedAt) * maximumTimeFraction);
-}
