Prefer upstreams that accept while a service sheds, and limit requests to it

Cause: an upstream that shed with as many requests in flight as it has slots was taken for full, so its health estimate stayed good and the fleet went on sending to it; requests were shed at one upstream after another.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -8,6 +8,7 @@
 import * as serviceRegistry from "../kernel/serviceRegistry.js";
 import type * as pool from "../pool/index.js";
 import * as scheduler from "./scheduler.js";
+import type * as shedControl from "./shedControl.js";
 import * as workspaces from "../workspaces/index.js";
 import type * as types from "./types.js";
 
@@ -22,12 +23,14 @@
     readonly slotAllocator: types.SlotAllocator;
     readonly chooseUpstream: types.ChooseUpstream;
     readonly formatUpstreamSummary: types.FormatUpstreamSummary;
+    readonly shedControl: shedControl.ShedControl;
 }
 
 /** Keeps one scheduler per configured service and routes slot requests to it. */
 export class Admission {
     private readonly schedulers = new Map<string, scheduler.Scheduler>();
     private readonly queueTimes: promClient.Histogram<"service" | "rank">;
+    private readonly refusals: promClient.Counter<"service" | "rank" | "reason">;
     private ranksJson = "";
 
     constructor(private readonly options: CreateAdmissionOptions) {
@@ -38,6 +41,12 @@
             buckets: queueTimeBucketsSeconds,
             registers: [options.context.metrics],
         });
+        this.refusals = new promClient.Counter({
+            name: "agatebend_admission_refusals_total",
+            help: "Requests refused before an attempt or a further attempt, by service, rank and reason.",
+            labelNames: ["service", "rank", "reason"],
+            registers: [options.context.metrics],
+        });
         options.configuration.addListener(current => this.setConfiguration(current));
         options.pool.addChangeListener(() => this.schedulers.forEach(serviceScheduler => serviceScheduler.dispatch()));
         const gauge: promClient.Gauge<"service" | "rank"> = new promClient.Gauge({
@@ -59,10 +68,30 @@
         if (withdrawnKeyError !== undefined) {
             return Promise.resolve(err(withdrawnKeyError));
         }
+        const limitError = this.options.shedControl.getLimitError(request);
+        if (limitError !== undefined) {
+            this.recordRefusal(request.service, request.rankIndex, "shedLimit");
+            return Promise.resolve(err(limitError));
+        }
         // The request's route may go to another service by now.
         return serviceScheduler?.acquireSlot(request) ?? Promise.resolve(err(errors.createError("overloaded", `the service ${request.service} is no longer configured`)));
     }
 
+    /** Returns whether requests to the service are limited because it sheds. */
+    isLimited(service: string): boolean {
+        return this.options.shedControl.isLimited(service);
+    }
+
+    /**
+     * Creates the error of a request that upstreams have shed and that is not sent again.
+     * @param message - Why the upstream shed it.
+     */
+    createShedError({ service, rankIndex }: Pick<types.SlotRequest, "service" | "rankIndex">, message: string): errors.FleetError {
+        this.recordRefusal(service, rankIndex, "shed");
+        const retryAfterMs = this.options.shedControl.computeRetryAfterMs(service);
+        return { ...errors.createError("overloaded", message), ...(retryAfterMs === undefined ? {} : { retryAfterMs }) };
+    }
+
     /** Rejects every queued request; those that hold a slot go on. */
     rejectAllQueued(error: errors.FleetError): void {
         this.schedulers.forEach(serviceScheduler => serviceScheduler.rejectQueued(() => error));
@@ -83,6 +112,11 @@
         return Object.fromEntries([...this.schedulers].map(([service, serviceScheduler]) => [service, serviceScheduler.getDump()]));
     }
 
+    private recordRefusal(service: string, rankIndex: number, reason: types.RefusalReason): void {
+        const rank = this.options.configuration.getCurrent()?.document.ranks[rankIndex]?.name ?? String(rankIndex);
+        this.refusals.inc({ service, rank, reason });
+    }
+
     private setConfiguration(compiled: configuration.CompiledConfiguration): void {
         const { document, retiredFeatures } = compiled;
         const currentRanksJson = JSON.stringify(document.ranks);
@@ -97,10 +131,12 @@
             if (!Object.hasOwn(document.services, service) || haveRanksChanged) {
                 serviceScheduler.rejectQueued(() => errors.createError("overloaded", "the service's ranks changed while the request waited"));
                 this.schedulers.delete(service);
+                this.options.shedControl.removeService(service);
             }
         }
         for (const service of Object.keys(document.services)) {
             if (!this.schedulers.has(service)) {
+                this.options.shedControl.setService(service, document.ranks.map(rank => rank.guaranteedShare));
                 this.schedulers.set(
                     service,
                     new scheduler.Scheduler({
@@ -108,6 +144,7 @@
                         service,
                         ranks: document.ranks,
                         recordQueueTime: (rank, queuedMs) => this.queueTimes.observe({ service, rank }, queuedMs / millisecondsPerSecond),
+                        recordRefusal: (rankIndex, reason) => this.recordRefusal(service, rankIndex, reason),
                         hasFairShares: () => this.options.configuration.getCurrent()?.needsKeys ?? false,
                     }),
                 );
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -5,6 +5,7 @@
 import * as peers from "../peers/index.js";
 import * as pool from "../pool/index.js";
 import * as admission from "./admission.js";
+import * as shedControl from "./shedControl.js";
 import * as slotSharing from "./slotSharing.js";
 import * as upstreamHealth from "../upstreamHealth/index.js";
 import type * as types from "./types.js";
@@ -36,8 +37,25 @@
             });
         const health = context.services.findService(upstreamHealth.upstreamHealthKey);
         const chooseUpstream: types.ChooseUpstream = health === undefined ? chooseByLoad : (request, upstreams, now, queuedMs) => health.chooseUpstream({ ...request, upstreams, now, queuedMs });
+        const shedding = new shedControl.ShedControl({
+            context,
+            pool: upstreamPool,
+            getUpstreamKnowledge: (upstream, now) => {
+                const estimate = health?.table.getEstimate(upstream);
+                return estimate === undefined ? undefined : { failureProbability: estimate.getFailureProbability(now), lastFailureAt: estimate.getLastFailureAt() };
+            },
+        });
+        health?.setSheddingCheck(service => shedding.isShedding(service));
         const formatUpstreamSummary: types.FormatUpstreamSummary = (upstream, now) => health?.formatHealth(upstream, now) ?? `${upstream.getInFlight()}/${upstream.getConcurrencyLimit()} busy`;
-        const created: admission.Admission = new admission.Admission({ context, pool: upstreamPool, configuration: configurations, slotAllocator, chooseUpstream, formatUpstreamSummary });
+        const created: admission.Admission = new admission.Admission({
+            context,
+            pool: upstreamPool,
+            configuration: configurations,
+            slotAllocator,
+            chooseUpstream: shedding.chooseUpstream(chooseUpstream),
+            formatUpstreamSummary,
+            shedControl: shedding,
+        });
         context.services.setService(admission.admissionKey, created);
         return { start: async () => slotAllocator.start(), getDump: () => ({ queues: created.getDump(), parts: slotAllocator.getDump() }) };
     },
--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -29,6 +29,7 @@
     readonly formatUpstreamSummary: types.FormatUpstreamSummary;
     /** Records the queue time of a request that got a slot. */
     readonly recordQueueTime?: (rank: string, queuedMs: number) => void;
+    readonly recordRefusal?: (rankIndex: number, reason: types.RefusalReason) => void;
     /** Returns whether slots are shared between workspaces; by default, all requests of a rank form one group. */
     readonly hasFairShares?: () => boolean;
 }
@@ -87,7 +88,7 @@
         const { queueLength } = this.options.context.settings;
         if (requests.getSize() >= queueLength) {
             const refused = queuedRequest.chooseRefused(requests, queued, forecast.getIntervalMs(now) ?? queued.cost);
-            this.rejectRequest(refused, errors.createError("overloaded", `the queue of the request's rank is full with ${requests.getSize()} requests`));
+            this.rejectWithReason(refused, "queueFull", errors.createError("overloaded", `the queue of the request's rank is full with ${requests.getSize()} requests`));
             if (refused === queued) {
                 return false;
             }
@@ -109,7 +110,7 @@
         if (retryAfterMs === undefined) {
             return true;
         }
-        this.rejectRequest(queued, { ...errors.createError("deadlineBeforeSend", `the request's turn is expected in ${Math.round(waitMs)} ms, which is too late for its deadline`), retryAfterMs: Math.round(retryAfterMs) });
+        this.rejectWithReason(queued, "late", { ...errors.createError("deadlineBeforeSend", `the request's turn is expected in ${Math.round(waitMs)} ms, which is too late for its deadline`), retryAfterMs: Math.round(retryAfterMs) });
         return false;
     }
 
@@ -123,10 +124,15 @@
                 this.scheduleRejection(queued);
                 return;
             }
-            this.rejectRequest(queued, errors.createError("deadlineBeforeSend", "the time that was left for the request became too short while it was queued"));
+            this.rejectWithReason(queued, "late", errors.createError("deadlineBeforeSend", "the time that was left for the request became too short while it was queued"));
         });
     }
 
+    private rejectWithReason(queued: queuedRequest.QueuedRequest, reason: types.RefusalReason, error: errors.FleetError): void {
+        this.options.recordRefusal?.(queued.request.rankIndex, reason);
+        this.rejectRequest(queued, error);
+    }
+
     private rejectRequest(queued: queuedRequest.QueuedRequest, error: errors.FleetError): void {
         this.queues[queued.request.rankIndex]!.requests.remove(queued);
         this.resolveRequest(queued, err(error));
@@ -248,7 +254,7 @@
         const { requests } = this.queues[rank]!;
         let first = requests.listNext(1)[0];
         while (first !== undefined && first.request.deadlineAt - now < queuedRequest.computeMinimumRemainingMs(first)) {
-            this.rejectRequest(first, errors.createError("deadlineBeforeSend", "the remaining time before the deadline was too short when the request reached the head of the queue"));
+            this.rejectWithReason(first, "late", errors.createError("deadlineBeforeSend", "the remaining time before the deadline was too short when the request reached the head of the queue"));
             first = requests.listNext(1)[0];
         }
     }
@@ -262,7 +268,7 @@
         for (const queued of requests.listAll().filter(({ request }) => !request.mayHaveRun)) {
             const retryAfterMs = requestedPauses.computeRefusalDelayMs({ upstreams, now, targetLatencyMs: queued.request.targetLatencyMs });
             if (retryAfterMs !== undefined) {
-                this.rejectRequest(queued, { ...errors.createError("overloaded", `every upstream has asked for no requests, for ${Math.round(retryAfterMs)} ms at least`), retryAfterMs });
+                this.rejectWithReason(queued, "pause", { ...errors.createError("overloaded", `every upstream has asked for no requests, for ${Math.round(retryAfterMs)} ms at least`), retryAfterMs });
             }
         }
     }
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -66,3 +66,16 @@
     /** Returns the identifiers of the upstreams whose slots are allocated to this instance. */
     readonly getAllocatedUpstreamIds: (service: string) => ReadonlySet<string>;
 }
+
+/** Why a request was refused before an attempt, or before a further one. */
+export type RefusalReason =
+    /** The queue of its rank was full. */
+    | "queueFull"
+    /** It could not be in time any more, or was not expected to be. */
+    | "late"
+    /** All upstreams had asked for a pause. */
+    | "pause"
+    /** Its service sheds, and requests to it are limited. */
+    | "shedLimit"
+    /** An upstream shed it, and it could not be sent again. */
+    | "shed";
--- a/src/settings/serveSettings.ts
+++ b/src/settings/serveSettings.ts
@@ -99,6 +99,9 @@
     slotSharing: z.enum(["credits", "random"]).default("credits").describe(
         "How instances share upstreams that are short of slots: by parts computed from all instances' demands, or each by itself.",
     ),
+    shedLimit: z.enum(["off", "adaptive"]).default("off").describe(
+        "What an instance does while most upstreams of a service shed: it sends on, or it prefers upstreams that have not shed of late and limits requests to the rate that the service accepts.",
+    ),
     detection: z.enum(["shared", "local", "consecutive", "fresh"]).default("shared").describe(
         "How failing upstreams are detected: by the evidence of all instances, by this instance's alone, by errors in a row, or by a belief from the fleet's newest outcomes, without ejections, for upstreams that fail and mend within seconds.",
     ),
--- a/src/upstreamHealth/upstreamHealth.ts
+++ b/src/upstreamHealth/upstreamHealth.ts
@@ -70,6 +70,9 @@
     /** The services of routes whose requests are not repeatable. These requests depend on fresh observations of all upstreams. */
     private nonRepeatableServices: ReadonlySet<string> = new Set();
 
+    /** Returns whether a service sheds as a whole. */
+    private isShedding: (service: string) => boolean = () => false;
+
     constructor(private readonly options: CreateUpstreamHealthOptions) {
         this.relay = new healthUpdateRelay.HealthUpdateRelay({
             context: options.context,
@@ -90,6 +93,11 @@
         options.mesh.addDisconnectListener(peerId => this.handlePeerLoss(peerId));
     }
 
+    /** Sets how it is found out whether a service sheds as a whole. Its upstreams then do not shed because they are full. */
+    setSheddingCheck(isShedding: (service: string) => boolean): void {
+        this.isShedding = isShedding;
+    }
+
     /** Starts the periodic checks for overdue attempts and expired reports. */
     start(): void {
         const { context: { loop, clock } } = this.options;
@@ -161,8 +169,8 @@
 
     private recordEnd(upstream: pool.Upstream, attempt: pool.AttemptRecord, outcome: pool.AttemptOutcome): void {
         this.failureShare.recordAttempt(upstream.service, outcome, this.options.context.clock.getNow());
-        const isShedWithFreeSlots = outcome === "shed" && this.table.getFleetInFlight(upstream) < upstream.getSlots();
-        const isBad = isShedWithFreeSlots || outcome === "failed" || outcome === "timedOut" || outcome === "unreachable";
+        const isShedAsBad = outcome === "shed" && (this.table.getFleetInFlight(upstream) < upstream.getSlots() || this.isShedding(upstream.service));
+        const isBad = isShedAsBad || outcome === "failed" || outcome === "timedOut" || outcome === "unreachable";
         if (isBad) {
             this.unusedLog.recordFailure(upstream.service);
         }
