Answer shed requests at once, and ask the retry budget again for overdue reads

Cause: a request that was shed polled the retry budget until its deadline (shed at 13.64 s, refused at 18.09 s). An overdue read asked the budget once; with no retry left at that moment it stayed at its crashed upstream until its deadline.

Change: waitForRetry waits for an eighth of the target latency at most, not at all if the budget is overdrawn or if requests to the service are limited, and the refusal carries the Retry-After of its service. An overdue attempt asks the budget again every 100 ms.

--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -19,6 +19,8 @@
 
 /** Interval between checks whether the budget allows a retry. */
 const retryCheckIntervalMs = 25;
+/** A shed request waits for a retry of the budget for this part of its target latency at most; its caller is told when to come back instead. */
+const maximumRetryWaitFraction = 1 / 8;
 /** The quantile of a route's latencies that decides which requests a stopping instance still takes and sends. */
 const usualLatencyQuantile = 0.99;
 
@@ -140,7 +142,8 @@
 
     /**
      * Waits until a request may be sent again after an attempt that did not run. Returns false if the caller disconnects,
-     * if the budget allows no retry in time, or if a shutdown leaves too little time.
+     * if the budget allows no retry within a small part of the target latency, if its service is limited because it sheds,
+     * or if a shutdown leaves too little time.
      * @param request - The request.
      * @param kind - Why the attempt did not run. An unreachable upstream never received the request, so the next attempt
      * takes no retry from the budget.
@@ -154,15 +157,31 @@
         const budget = this.getRetryBudget(route.service);
         const medianMs = this.latencies.getQuantile(route.service, route.name, 0.5) ?? 0;
         const requiredMs = Math.max(medianMs, attemptMs) + retryCheckIntervalMs;
+        const waitUntil = clock.getNow() + (route.targetLatencyMs ?? route.deadlineMs) * maximumRetryWaitFraction;
+        if (kind === "shed" && !mayHaveRun && this.options.admission.isLimited(route.service)) {
+            return false;
+        }
         while (!signal.aborted && this.getDrainError(request, mayHaveRun) === undefined && deadlineAt - clock.getNow() >= requiredMs) {
             if (kind === "unreachable" || budget.acquireRetry()) {
                 return true;
             }
+            // With more retries spent than the budget allows by now, none becomes free for a while.
+            if (clock.getNow() >= waitUntil || budget.getRemainingRetries() < 0) {
+                return false;
+            }
             await new Promise<void>(resolve => loop.scheduleOnce(retryCheckIntervalMs, resolve));
         }
         return false;
     }
 
+    /**
+     * Creates the error of a request that an upstream has shed, that none has run, and that is not sent again.
+     * @param message - What the upstream answered.
+     */
+    createShedError({ route }: Pick<types.RoutedRequest, "route">, message: string): errors.FleetError {
+        return this.options.admission.createShedError({ service: route.service, rankIndex: route.rankIndex }, message);
+    }
+
     private applyNotice(upstream: pool.Upstream, notice: attempt.UpstreamNotice): void {
         const { context: { clock, logger }, leavingUpstreams } = this.options;
         match(notice)
--- a/src/requests/runAtMostOnce.ts
+++ b/src/requests/runAtMostOnce.ts
@@ -70,7 +70,7 @@
     return match(result)
         .with({ kind: "shed" }, async ({ reason }): Promise<StepResult> => {
             release("shed");
-            return await executor.waitForRetry(request, "shed", clock.getNow() - slot.attempt.startedAt) ? "retry" : { kind: "error", error: errors.createError("overloaded", `the upstream rejected the request: ${reason}`), attempts };
+            return await executor.waitForRetry(request, "shed", clock.getNow() - slot.attempt.startedAt) ? "retry" : { kind: "error", error: executor.createShedError(request, `the upstream rejected the request: ${reason}`), attempts };
         })
         .with({ kind: "unreachable" }, async ({ reason }): Promise<StepResult> => {
             release("unreachable");
--- a/src/requests/runWithRetries.ts
+++ b/src/requests/runWithRetries.ts
@@ -13,6 +13,8 @@
 
 /** Bytes of a response body that are buffered before relaying starts; a response that breaks within them can be requested again. */
 const bufferLimitBytes = 1_048_576;
+/** The time until the retry budget is asked again for an overdue attempt. */
+const overdueCheckIntervalMs = 100;
 /** The maximum number of range requests that continue one broken body. */
 const maximumContinuations = 8;
 
@@ -136,8 +138,11 @@
     if (ageMs < overdueAgeMs) {
         return Math.min(remainingMs, overdueAgeMs - ageMs);
     }
-    const mayRetry = progress.sentAttempts + 1 < request.route.maximumAttempts && remainingMs > overdueAgeMs && executor.getRetryBudget(request.route.service).acquireRetry();
-    return mayRetry ? "timedOut" : remainingMs;
+    if (progress.sentAttempts + 1 >= request.route.maximumAttempts || remainingMs <= overdueAgeMs) {
+        return remainingMs;
+    }
+    // A budget that has no retry now may have one soon; the attempt of a crashed upstream would otherwise last until the deadline.
+    return executor.getRetryBudget(request.route.service).acquireRetry() ? "timedOut" : Math.min(remainingMs, overdueCheckIntervalMs);
 }
 
 function handleResponse(executor: executorContext.ExecutorContext, request: types.RoutedRequest, progress: Progress, slot: admission.Slot, response: http.IncomingMessage): OpenResult | "retry" {
@@ -175,12 +180,10 @@
         return "retry";
     }
     const message = `the upstream did not accept the request: ${reason}`;
-    return {
-        kind: "error",
-        error: progress.sentAttempts === 0
-            ? errors.createError(kind === "shed" ? "overloaded" : "upstreamUnavailable", message)
-            : errors.createError("answerLost", `an earlier attempt was sent and failed; after that, ${message}`),
-    };
+    if (progress.sentAttempts > 0) {
+        return { kind: "error", error: errors.createError("answerLost", `an earlier attempt was sent and failed; after that, ${message}`) };
+    }
+    return { kind: "error", error: kind === "shed" ? executor.createShedError(request, message) : errors.createError("upstreamUnavailable", message) };
 }
 
 /** Handles an attempt whose response was lost. The upstream may have run the request. */
--- a/test/requests/executorContext.test.ts
+++ b/test/requests/executorContext.test.ts
@@ -12,7 +12,9 @@
 import type * as types from "../../src/requests/types.js";
 
 void tap.test("retrying an attempt that did not run", async t => {
-    const doTest = async (kind: "shed" | "unreachable", remainingMs: number, { retrySlack = 0, attemptMs = 0 } = {}) => {
+    const targetLatencyMs = 1_200;
+    let waitedMs = 0;
+    const doTest = async (kind: "shed" | "unreachable", remainingMs: number, { retrySlack = 0, attemptMs = 0, isLimited = false, spentRetries = 0, mayHaveRun = false } = {}) => {
         const time = clock.createVirtualClock();
         const executor = new executorContext.ExecutorContext({
             context: {
@@ -29,14 +31,20 @@
                 },
             },
             pool: { latencies: { getQuantile: () => 100 } },
+            admission: { isLimited: () => isLimited },
             agent: {} as http.Agent,
             countInstances: () => 1,
         } as unknown as executorContext.CreateExecutorContextOptions);
         // The slack is granted in full only after the first window.
         executor.getRetryBudget("desk");
         time.addTime(10_000);
-        const request = { route: { service: "desk", name: "r" }, deadlineAt: time.getNow() + remainingMs, signal: new AbortController().signal };
-        return executor.waitForRetry(request as unknown as types.RoutedRequest, kind, attemptMs);
+        const budget = executor.getRetryBudget("desk");
+        Array.from({ length: spentRetries }, () => budget.acquireRetry());
+        const request = { route: { service: "desk", name: "r", targetLatencyMs, deadlineMs: 10_000 }, deadlineAt: time.getNow() + remainingMs, signal: new AbortController().signal };
+        const startedAt = time.getNow();
+        const mayRetry = await executor.waitForRetry(request as unknown as types.RoutedRequest, kind, attemptMs, mayHaveRun);
+        waitedMs = time.getNow() - startedAt;
+        return mayRetry;
     };
     t.equal(await doTest("shed", 1_000), false, "a shed request needs a retry from the budget, because it reached the upstream");
     t.equal(await doTest("unreachable", 1_000), true, "an unreachable upstream never received the request, so no retry is needed from the budget");
@@ -44,6 +52,15 @@
     t.equal(await doTest("shed", 1_000, { retrySlack: 5 }), true, "the budget has a retry");
     t.equal(await doTest("shed", 100, { retrySlack: 5 }), false, "the budget has a retry, but the deadline comes before the response");
     t.equal(await doTest("shed", 300, { retrySlack: 5, attemptMs: 300 }), false, "the upstreams take longer to reject than the time left");
+    // An order that was shed once waited for more than four seconds until its refusal.
+    t.equal(await doTest("shed", 8_000), false);
+    t.ok(waitedMs >= targetLatencyMs / 8 && waitedMs < targetLatencyMs / 8 + 50, `without a retry in the budget, a shed request waits for an eighth of its target latency: ${waitedMs} ms`);
+    t.equal(await doTest("shed", 8_000, { retrySlack: 5, spentRetries: 4 }), false);
+    t.ok(waitedMs > 0, "the budget may have a retry soon");
+    t.equal(await doTest("shed", 8_000, { retrySlack: 5, isLimited: true }), false, "no retry while requests to the service are limited");
+    t.equal(waitedMs, 0, "and no wait either");
+    t.equal(await doTest("shed", 8_000, { retrySlack: 5, isLimited: true, mayHaveRun: true }), true, "a request that may have run is sent again, because it cannot be refused as not executed");
+    t.equal(await doTest("unreachable", 8_000, { isLimited: true }), true, "an upstream that cannot be reached has not shed");
 });
 
 void tap.test("a request that waited for a slot at a stopping instance", async t => {
