Label the bytes between peers with the type of message, and measure them

The metric told only the direction and the domain, so that nothing showed which messages cost bytes between failure domains. Received bytes are counted when a frame is complete.

--- a/bench/metrics.ts
+++ b/bench/metrics.ts
@@ -21,8 +21,8 @@
         at: performance.now(),
         cpuSeconds: sum(/^agatebend_process_cpu_seconds_total (\S+)/gm),
         residentBytes: sum(/^agatebend_process_resident_memory_bytes (\S+)/gm),
-        peerBytesSent: sum(/^agatebend_peer_bytes_total\{direction="sent"\} (\S+)/gm),
-        peerBytesReceived: sum(/^agatebend_peer_bytes_total\{direction="received"\} (\S+)/gm),
+        peerBytesSent: sum(/^agatebend_peer_bytes_total\{direction="sent"[^}]*\} (\S+)/gm),
+        peerBytesReceived: sum(/^agatebend_peer_bytes_total\{direction="received"[^}]*\} (\S+)/gm),
         storeCalls: sum(/^agatebend_store_calls_total\{\S+ (\S+)/gm),
     };
 }
--- a/scripts/emulate.ts
+++ b/scripts/emulate.ts
@@ -80,8 +80,8 @@
 async function printTraffic(instances: readonly platform.PlatformInstance[]): Promise<void> {
     const texts = await Promise.all(instances.map(async instance => (await processes.sendRequest(`http://${instance.addresses.operator}/metrics`)).body.toString()));
     const computeRate = (pattern: RegExp) => texts.flatMap(text => [...text.matchAll(pattern)]).reduce((sum, found) => sum + Number(found[1]), 0) / instances.length / seconds;
-    const sameDomainRate = computeRate(/agatebend_peer_bytes_total\{direction="sent",domain="own"\} (\S+)/g);
-    const otherDomainRate = computeRate(/agatebend_peer_bytes_total\{direction="sent",domain="other"\} (\S+)/g);
+    const sameDomainRate = computeRate(/agatebend_peer_bytes_total\{direction="sent",domain="own"[^}]*\} (\S+)/g);
+    const otherDomainRate = computeRate(/agatebend_peer_bytes_total\{direction="sent",domain="other"[^}]*\} (\S+)/g);
     const cpuUsage = computeRate(/^agatebend_process_cpu_seconds_total (\d\S*)/gm);
     process.stdout.write(
         `each instance: ${(sameDomainRate / 1_000).toFixed(2)} KB/s to peers in its failure domain, ${(otherDomainRate / 1_000).toFixed(2)} KB/s to other peers, ${(100 * cpuUsage).toFixed(1)} % of a core, including startup\n`,
--- a/src/peers/gossipRelay.ts
+++ b/src/peers/gossipRelay.ts
@@ -21,7 +21,7 @@
     readonly registerTable: registers.RegisterTable;
     readonly getTopology: () => topology.Topology;
     readonly listLinkedPeers: () => readonly string[];
-    readonly sendFrame: (peerId: string, frame: Buffer) => void;
+    readonly sendFrame: (peerId: string, frame: Buffer, label: string) => void;
 }
 
 /** Collects what this instance hands on while it is a relay of its cell. */
@@ -84,8 +84,9 @@
         const otherPeers = peers.filter(peerId => current.getCell(peerId) !== ownCell);
         for (const [receivers, sent] of [[ownPeers, items], [otherPeers, ownItems]] as const) {
             if (receivers.length > 0 && sent.length > 0) {
-                const frame = wire.encodeFrame(createMessage(sent));
-                receivers.forEach(peerId => sendFrame(peerId, frame));
+                const message = createMessage(sent);
+                const [frame, label] = [wire.encodeFrame(message), wire.createLabel(message)];
+                receivers.forEach(peerId => sendFrame(peerId, frame, label));
             }
         }
     }
--- a/src/peers/gossipRounds.ts
+++ b/src/peers/gossipRounds.ts
@@ -67,8 +67,9 @@
 
     private sendHeartbeat(heartbeat: number, receivers: readonly string[]): void {
         const { context: { identity: { incarnation } }, linkManager } = this.options;
-        const frame = wire.encodeFrame({ type: "heartbeat", incarnation, heartbeat });
-        receivers.forEach(peerId => linkManager.getLink(peerId)?.sendFrame(frame));
+        const message = { type: "heartbeat", incarnation, heartbeat } as const;
+        const [frame, label] = [wire.encodeFrame(message), wire.createLabel(message)];
+        receivers.forEach(peerId => linkManager.getLink(peerId)?.sendFrame(frame, label));
     }
 
     private sendSummary(): void {
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -2,6 +2,7 @@
 
 import * as crypto from "node:crypto";
 import type * as net from "node:net";
+import { err } from "neverthrow";
 import { match } from "ts-pattern";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
@@ -10,6 +11,8 @@
 
 /** A link drops messages while it buffers more unsent bytes than this multiple of the setting `frameBytes`. */
 const maximumBufferedFrames = 2;
+/** The label of received frames that are no message. */
+const invalidLabel = "invalid";
 
 /** The peer at the other end of a link. */
 export interface PeerIdentity {
@@ -33,7 +36,8 @@
     /** The shared secret of the fleet; empty if none is set. */
     readonly secret: string;
     readonly events: LinkEvents;
-    readonly countBytes: (direction: "sent" | "received", bytes: number, peer: PeerIdentity | undefined) => void;
+    /** Called with the size of each frame and the label of its message. */
+    readonly countBytes: (direction: "sent" | "received", bytes: number, peer: PeerIdentity | undefined, label: string) => void;
 }
 
 /** A link is open after both the hello and the proof of the peer have been received. */
@@ -95,19 +99,20 @@
      * @param message - The message.
      */
     sendMessage(message: wire.Message): boolean {
-        return this.sendFrame(wire.encodeFrame(message));
+        return this.sendFrame(wire.encodeFrame(message), wire.createLabel(message));
     }
 
     /**
      * Sends an encoded message; otherwise like `sendMessage`. A frame that goes to several peers needs encoding only once.
      * @param frame - The encoded message.
+     * @param label - The label of the message in metrics.
      */
-    sendFrame(frame: Buffer): boolean {
+    sendFrame(frame: Buffer, label: string): boolean {
         const limit = this.options.context.settings.frameBytes * maximumBufferedFrames;
         if (!this.isOpen() || this.options.socket.writableLength > limit) {
             return false;
         }
-        this.writeFrame(frame);
+        this.writeFrame(frame, label);
         return true;
     }
 
@@ -127,24 +132,26 @@
     }
 
     private writeMessage(message: wire.Message): void {
-        this.writeFrame(wire.encodeFrame(message));
+        this.writeFrame(wire.encodeFrame(message), wire.createLabel(message));
     }
 
-    private writeFrame(frame: Buffer): void {
-        this.options.countBytes("sent", frame.length, this.getPeer());
+    private writeFrame(frame: Buffer, label: string): void {
+        this.options.countBytes("sent", frame.length, this.getPeer(), label);
         this.options.socket.write(frame);
     }
 
     private receiveChunk(chunk: Buffer): void {
         this.lastReceivedAt = this.options.context.clock.getNow();
-        this.options.countBytes("received", chunk.length, this.getPeer());
         this.reader.readFrames(chunk)
             .andThen(bodies => {
                 for (const body of bodies) {
-                    const handled = wire.decodeMessage(body).map(message => this.handleMessage(message));
-                    if (handled.isErr()) {
-                        return handled;
+                    const decoded = wire.decodeMessage(body);
+                    const label = decoded.isOk() ? wire.createLabel(decoded.value) : invalidLabel;
+                    this.options.countBytes("received", wire.lengthPrefixBytes + body.length, this.getPeer(), label);
+                    if (decoded.isErr()) {
+                        return err(decoded.error);
                     }
+                    this.handleMessage(decoded.value);
                 }
                 return this.reader.readFrames(Buffer.alloc(0));
             })
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -1,7 +1,6 @@
 /** The gossip mesh between the instances: replicated registers, requests, notices and failure detection by heartbeats. */
 
 import { err, ok, type Result } from "neverthrow";
-import * as promClient from "prom-client";
 import { match } from "ts-pattern";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
@@ -14,6 +13,7 @@
 import * as memberDirectory from "./memberDirectory.js";
 import * as memberMetrics from "./memberMetrics.js";
 import * as members from "./members.js";
+import * as peerByteCounter from "./peerByteCounter.js";
 import * as pendingRequests from "./pendingRequests.js";
 import * as registers from "./registers.js";
 import * as requestHandlers from "./requestHandlers.js";
@@ -41,7 +41,7 @@
     private readonly noticeHandlers = new Map<string, TopicListener>();
     private readonly disconnectListeners: ((peerId: string) => void)[] = [];
     private readonly linkManager: linkManager.LinkManager;
-    private readonly byteCounter: promClient.Counter<"direction" | "domain">;
+    private readonly byteCounter: peerByteCounter.PeerByteCounter;
     private selfDescription: members.MemberDescription;
     private readonly gossipRounds: gossipRounds.GossipRounds;
     private readonly gossipRelay: gossipRelay.GossipRelay;
@@ -57,11 +57,11 @@
         });
         this.memberDirectory = new memberDirectory.MemberDirectory({ clock: context.clock, registerTable: this.registerTable, suspectAfterMs: settings.suspectAfterMs });
         this.pendingRequests = new pendingRequests.PendingRequests(context.loop, settings.peerTimeoutMs);
-        this.byteCounter = new promClient.Counter({ name: "agatebend_peer_bytes_total", help: "Bytes on links to peers of the own and of other failure domains.", labelNames: ["direction", "domain"], registers: [metrics] });
+        this.byteCounter = new peerByteCounter.PeerByteCounter({ registry: metrics, failureDomain: identity.failureDomain });
         this.selfDescription = { failureDomain: identity.failureDomain, callerAddress: "", peerAddress: "", operatorAddress: "", state: "starting", configurationVersion: 0 };
         this.linkManager = new linkManager.LinkManager({
             context,
-            countBytes: (direction, bytes, peer) => this.byteCounter.inc({ direction, domain: peer?.failureDomain === identity.failureDomain ? "own" : "other" }, bytes),
+            countBytes: (direction, bytes, peer, label) => this.byteCounter.recordFrame(direction, bytes, peer?.failureDomain, label),
             createPlan: (listedCount, unreachable) => this.fleetTopology.createLinkPlan(listedCount, unreachable),
             events: {
                 onOpen: peerLink => this.handleLinkOpen(peerLink),
@@ -76,7 +76,7 @@
             registerTable: this.registerTable,
             getTopology,
             listLinkedPeers: () => this.linkManager.listLinkedPeers(),
-            sendFrame: (peerId, frame) => this.linkManager.getLink(peerId)?.sendFrame(frame),
+            sendFrame: (peerId, frame, label) => this.linkManager.getLink(peerId)?.sendFrame(frame, label),
         });
         this.gossipRounds = new gossipRounds.GossipRounds({ context, linkManager: this.linkManager, registerTable: this.registerTable, gossipRelay: this.gossipRelay, getTopology });
         memberMetrics.createMemberGauge(metrics, () => this.listMembers());
@@ -185,8 +185,9 @@
      * @returns How many peers the notice was sent to; peers without an open link or with a full send buffer are skipped.
      */
     sendNotices(peerIds: readonly string[], topic: string, body: unknown): number {
-        const frame = wire.encodeFrame({ type: "notice", topic, body });
-        return peerIds.filter(peerId => this.linkManager.getLink(peerId)?.sendFrame(frame) === true).length;
+        const notice = { type: "notice", topic, body } as const;
+        const [frame, label] = [wire.encodeFrame(notice), wire.createLabel(notice)];
+        return peerIds.filter(peerId => this.linkManager.getLink(peerId)?.sendFrame(frame, label) === true).length;
     }
 
     /** Lists the identifiers of the peers with an open link. */
--- a/src/peers/wire.ts
+++ b/src/peers/wire.ts
@@ -2,6 +2,7 @@
 
 import { Decoder, Encoder } from "cbor-x";
 import { err, ok, type Result } from "neverthrow";
+import { match } from "ts-pattern";
 import * as z from "zod";
 import * as errors from "../kernel/errors.js";
 import * as nesting from "../kernel/nesting.js";
@@ -87,6 +88,15 @@
     return frame;
 }
 
+/** Returns the label of a message in metrics: its type, and the topic if it has one; registers of several topics have the topic `mixed`. */
+export function createLabel(message: Message): string {
+    return match(message)
+        .with({ type: "registers" }, ({ type, registers }) => `${type}:${registers.every(({ topic }) => topic === registers[0]?.topic) ? registers[0]?.topic ?? "none" : "mixed"}`)
+        .with({ type: "notice" }, { type: "request" }, ({ type, topic }) => `${type}:${topic}`)
+        .with({ type: "hello" }, { type: "proof" }, { type: "heartbeat" }, { type: "heartbeats" }, { type: "summary" }, { type: "digest" }, { type: "reply" }, { type: "refusal" }, ({ type }) => type)
+        .exhaustive();
+}
+
 /**
  * Decodes and validates the body of a frame.
  * @param body - The bytes after the length prefix.
