--- a/src/peers/gossipRelay.ts
+++ b/src/peers/gossipRelay.ts
@@ -84,8 +84,7 @@
         const otherPeers = peers.filter(peerId => current.getCell(peerId) !== ownCell);
         for (const [receivers, sent] of [[ownPeers, items], [otherPeers, ownItems]] as const) {
             if (receivers.length > 0 && sent.length > 0) {
-                const message = createMessage(sent);
-                const [frame, label] = [wire.encodeFrame(message), wire.createLabel(message)];
+                const { frame, label } = wire.encodeLabeledFrame(createMessage(sent));
                 receivers.forEach(peerId => sendFrame(peerId, frame, label));
             }
         }
--- a/src/peers/gossipRounds.ts
+++ b/src/peers/gossipRounds.ts
@@ -67,8 +67,7 @@
 
     private sendHeartbeat(heartbeat: number, receivers: readonly string[]): void {
         const { context: { identity: { incarnation } }, linkManager } = this.options;
-        const message = { type: "heartbeat", incarnation, heartbeat } as const;
-        const [frame, label] = [wire.encodeFrame(message), wire.createLabel(message)];
+        const { frame, label } = wire.encodeLabeledFrame({ type: "heartbeat", incarnation, heartbeat });
         receivers.forEach(peerId => linkManager.getLink(peerId)?.sendFrame(frame, label));
     }
 
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -2,11 +2,12 @@
 
 import * as crypto from "node:crypto";
 import type * as net from "node:net";
-import { err } from "neverthrow";
+import { err, ok } from "neverthrow";
 import { match } from "ts-pattern";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import * as frameReader from "./frameReader.js";
+import * as linkCompression from "./linkCompression.js";
 import * as wire from "./wire.js";
 
 /** A link drops messages while it buffers more unsent bytes than this multiple of the setting `frameBytes`. */
@@ -37,6 +38,8 @@
     readonly secret: string;
     readonly events: LinkEvents;
     /** Called with the size of each frame and the label of its message. */
+    /** Returns whether the peer accepts compressed messages. */
+    readonly isCompressionAccepted: (peer: PeerIdentity) => boolean;
     readonly countBytes: (direction: "sent" | "received", bytes: number, peer: PeerIdentity | undefined, label: string) => void;
 }
 
@@ -52,6 +55,8 @@
     private readonly reader: frameReader.FrameReader;
     private readonly nonce: string;
     private state: LinkState = { kind: "awaitingHello" };
+    /** Set while the link is open, if the peer is in another failure domain. */
+    private compression?: linkCompression.LinkCompression;
     private lastReceivedAt: number;
 
     constructor(private readonly options: CreatePeerLinkOptions) {
@@ -112,7 +117,7 @@
         if (!this.isOpen() || this.options.socket.writableLength > limit) {
             return false;
         }
-        this.writeFrame(frame, label);
+        this.writeFrame(this.compression === undefined ? frame : this.createCompressedFrame(frame, this.compression), label);
         return true;
     }
 
@@ -140,12 +145,17 @@
         this.options.socket.write(frame);
     }
 
+    private createCompressedFrame(frame: Buffer, compression: linkCompression.LinkCompression): Buffer {
+        const peer = this.getPeer();
+        return wire.createFrame(compression.encodeBody(frame.subarray(wire.lengthPrefixBytes), peer !== undefined && this.options.isCompressionAccepted(peer)));
+    }
+
     private receiveChunk(chunk: Buffer): void {
         this.lastReceivedAt = this.options.context.clock.getNow();
         this.reader.readFrames(chunk)
             .andThen(bodies => {
                 for (const body of bodies) {
-                    const decoded = wire.decodeMessage(body);
+                    const decoded = (this.compression?.decodeBody(body) ?? ok(body)).andThen(decompressed => wire.decodeMessage(decompressed));
                     const label = decoded.isOk() ? wire.createLabel(decoded.value) : invalidLabel;
                     this.options.countBytes("received", wire.lengthPrefixBytes + body.length, this.getPeer(), label);
                     if (decoded.isErr()) {
@@ -203,6 +213,7 @@
             return this.rejectPeer("the peer does not know the shared secret");
         }
         this.state = { kind: "open", peer };
+        this.compression = peer.failureDomain === this.options.context.identity.failureDomain ? undefined : new linkCompression.LinkCompression();
         this.options.events.onOpen(this);
     }
 
--- a/src/peers/linkManager.ts
+++ b/src/peers/linkManager.ts
@@ -50,6 +50,7 @@
      */
     readonly createPlan: (listedCount: number, unreachable: ReadonlySet<string>) => LinkPlan;
     readonly countBytes: link.CreatePeerLinkOptions["countBytes"];
+    readonly isCompressionAccepted: link.CreatePeerLinkOptions["isCompressionAccepted"];
 }
 
 /** The state of dialing one address; `retryAt` is in monotonic milliseconds. */
@@ -254,12 +255,13 @@
     private addLink(socket: net.Socket, seed: string | undefined): link.PeerLink {
         this.sockets.add(socket);
         socket.once("close", () => this.sockets.delete(socket));
-        const { context, countBytes, events } = this.options;
+        const { context, countBytes, isCompressionAccepted, events } = this.options;
         return new link.PeerLink({
             socket,
             context,
             secret: this.secret,
             countBytes,
+            isCompressionAccepted,
             events: {
                 onOpen: peerLink => this.handleLinkOpen(peerLink, seed),
                 onMessage: events.onMessage,
--- a/src/peers/memberDirectory.ts
+++ b/src/peers/memberDirectory.ts
@@ -1,6 +1,7 @@
 /** The members of the fleet as read from the registers. */
 
 import type * as clock from "../kernel/clock.js";
+import type * as link from "./link.js";
 import * as members from "./members.js";
 import type * as registers from "./registers.js";
 
@@ -47,6 +48,12 @@
         return this.createMember(instanceId, this.options.clock.getNow());
     }
 
+    /** Returns whether a peer accepts compressed messages, by the description of the process that the link leads to. */
+    isCompressionAccepted({ instanceId, incarnation }: link.PeerIdentity): boolean {
+        const { registerTable } = this.options;
+        return registerTable.getIncarnation(instanceId) === incarnation && members.parseDescription(registerTable.getBody(instanceId, memberTopic))?.acceptsCompression === true;
+    }
+
     /** Makes the next list show the latest descriptions. */
     recordChange(): void {
         this.list = undefined;
--- a/src/peers/members.ts
+++ b/src/peers/members.ts
@@ -11,6 +11,8 @@
     /** The state that the instance itself reports. */
     state: z.enum(["starting", "running", "draining"]),
     configurationVersion: z.number(),
+    /** Whether it accepts compressed messages; earlier releases do not. */
+    acceptsCompression: z.boolean().optional().catch(undefined),
 });
 
 /** The description that an instance publishes about itself. */
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -58,10 +58,11 @@
         this.memberDirectory = new memberDirectory.MemberDirectory({ clock: context.clock, registerTable: this.registerTable, suspectAfterMs: settings.suspectAfterMs });
         this.pendingRequests = new pendingRequests.PendingRequests(context.loop, settings.peerTimeoutMs);
         this.byteCounter = new peerByteCounter.PeerByteCounter({ registry: metrics, failureDomain: identity.failureDomain });
-        this.selfDescription = { failureDomain: identity.failureDomain, callerAddress: "", peerAddress: "", operatorAddress: "", state: "starting", configurationVersion: 0 };
+        this.selfDescription = { failureDomain: identity.failureDomain, callerAddress: "", peerAddress: "", operatorAddress: "", state: "starting", configurationVersion: 0, acceptsCompression: true };
         this.linkManager = new linkManager.LinkManager({
             context,
             countBytes: (direction, bytes, peer, label) => this.byteCounter.recordFrame(direction, bytes, peer?.failureDomain, label),
+            isCompressionAccepted: peer => this.memberDirectory.isCompressionAccepted(peer),
             createPlan: (listedCount, unreachable) => this.fleetTopology.createLinkPlan(listedCount, unreachable),
             events: {
                 onOpen: peerLink => this.handleLinkOpen(peerLink),
@@ -185,8 +186,7 @@
      * @returns How many peers the notice was sent to; peers without an open link or with a full send buffer are skipped.
      */
     sendNotices(peerIds: readonly string[], topic: string, body: unknown): number {
-        const notice = { type: "notice", topic, body } as const;
-        const [frame, label] = [wire.encodeFrame(notice), wire.createLabel(notice)];
+        const { frame, label } = wire.encodeLabeledFrame({ type: "notice", topic, body });
         return peerIds.filter(peerId => this.linkManager.getLink(peerId)?.sendFrame(frame, label) === true).length;
     }
 
--- a/src/peers/wire.ts
+++ b/src/peers/wire.ts
@@ -81,10 +81,22 @@
  * @param message - The message.
  */
 export function encodeFrame(message: Message): Buffer {
-    const body = encoder.encode(message);
+    return createFrame(encoder.encode(message));
+}
+
+/** Encodes a message that goes to several peers, with its label in metrics. */
+export function encodeLabeledFrame(message: Message): { readonly frame: Buffer; readonly label: string; } {
+    return { frame: encodeFrame(message), label: createLabel(message) };
+}
+
+/**
+ * Creates a frame: the length prefix and the body.
+ * @param body - An encoded message, which may be compressed.
+ */
+export function createFrame(body: Buffer): Buffer {
     const frame = Buffer.allocUnsafe(lengthPrefixBytes + body.length);
     frame.writeUInt32BE(body.length, 0);
-    body.copy(frame, lengthPrefixBytes);
+    frame.set(body, lengthPrefixBytes);
     return frame;
 }
 
--- a/test/peers/linkManager.test.ts
+++ b/test/peers/linkManager.test.ts
@@ -26,6 +26,7 @@
         events: { onOpen: () => {}, onMessage: () => {}, onClose: () => {} },
         createPlan: () => ({ kind: "complete", targets: [], knownAddresses: new Set() }),
         countBytes: () => {},
+        isCompressionAccepted: () => false,
     } as unknown as linkManager.CreateLinkManagerOptions);
 }
 
