Lend the slack of retry budgets to the instances that need it

The slack is split equally, which leaves each of 130 instances less than two retries in 10 s while the others use none. With the new setting retry-slack-sharing=demand an instance that runs short asks peers ahead, in cells through a relay of its own, for loans that expire after 3 s. A third of each share is never lent. The lender counts a loan as used until 3 s and a window have passed, a restarted process has no share for as long, and instances that were heard of within ten minutes still count, so the bound does not depend on agreement. The default keeps equal shares.

--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -129,11 +129,24 @@
         return this.options.agent;
     }
 
+    /** Lists the retry budgets that are in use, by service. */
+    listRetryBudgets(): ReadonlyMap<string, retryBudget.RetryBudget> {
+        return this.budgets;
+    }
+
     /** Returns a service's retry budget, which is created on first use. */
     getRetryBudget(service: string): retryBudget.RetryBudget {
         const { clock, settings } = this.context;
         const budget = this.budgets.get(service)
-            ?? new retryBudget.RetryBudget({ clock, ratio: settings.retryRatio, slack: settings.retrySlack, windowMs: settings.retryWindowS * 1_000, countInstances: this.options.countInstances, startedAt: this.startedAt });
+            ?? new retryBudget.RetryBudget({
+                clock,
+                ratio: settings.retryRatio,
+                slack: settings.retrySlack,
+                windowMs: settings.retryWindowS * 1_000,
+                countInstances: this.options.countInstances,
+                startedAt: this.startedAt,
+                slackSharing: settings.retrySlackSharing,
+            });
         this.budgets.set(service, budget);
         return budget;
     }
--- a/src/requests/index.ts
+++ b/src/requests/index.ts
@@ -7,6 +7,7 @@
 import * as serviceRegistry from "../kernel/serviceRegistry.js";
 import * as connectionReuse from "./connectionReuse.js";
 import * as executorContext from "./executorContext.js";
+import * as retryLending from "./retryLending.js";
 import * as upstreamAgent from "./upstreamAgent.js";
 
 export { ExecutorContext } from "./executorContext.js";
@@ -39,18 +40,21 @@
             onStrayBytes: (upstream, place) => reuse.recordStrayBytes(upstream, place),
         });
         const reuse = new connectionReuse.ConnectionReuse({ context, mesh, closeIdleConnections: address => agent.closeIdleConnections(address) });
-        context.services.setService(
-            executorKey,
-            new executorContext.ExecutorContext({
-                context,
-                admission: context.services.getService(admission.admissionKey),
-                pool: context.services.getService(pool.poolKey),
-                leavingUpstreams: context.services.getService(pool.leavingUpstreamsKey),
-                agent,
-                connectionReuse: reuse,
-                countInstances: () => mesh.countMembers(),
-            }),
-        );
-        return { start: async () => reuse.start(), stop: async () => agent.destroy(), getDump: () => reuse.getDump() };
+        const executor = new executorContext.ExecutorContext({
+            context,
+            admission: context.services.getService(admission.admissionKey),
+            pool: context.services.getService(pool.poolKey),
+            leavingUpstreams: context.services.getService(pool.leavingUpstreamsKey),
+            agent,
+            connectionReuse: reuse,
+            countInstances: retryLending.createInstanceCount(context, mesh),
+        });
+        context.services.setService(executorKey, executor);
+        const lending = retryLending.createRetryLending(context, mesh, executor);
+        const start = async () => {
+            reuse.start();
+            lending?.start();
+        };
+        return { start, stop: async () => agent.destroy(), getDump: () => reuse.getDump() };
     },
 });
--- a/src/settings/serveSettings.ts
+++ b/src/settings/serveSettings.ts
@@ -79,6 +79,9 @@
     retryRatio: createDecimalSchema(1_000, 0.1).describe("The repeats that the whole fleet may send a service, as a part of its requests; fractions and 0 are allowed."),
     retrySlack: createDecimalSchema(1_000_000_000, 300).describe("The repeats that the whole fleet may send a service in a window beside that part; fractions and 0 are allowed."),
     retryWindowS: createDecimalSchema(86_400, 10).describe("The window in which repeats are counted, in seconds; fractions are allowed, and less than 0.1 counts as 0.1."),
+    retrySlackSharing: z.enum(["equal", "demand"]).default("equal").describe(
+        "Who may use the slack of the repeats: each instance an equal part of it, or those that need more also what others lend them.",
+    ),
     drainTimeoutMs: createIntegerSchema(0, 86_400_000, 900_000).describe("The longest graceful shutdown, in milliseconds; what is then in flight is cut."),
     killAfterS: createDecimalSchema(86_400, 0).describe(
         "How long after SIGTERM the platform kills the process, in seconds; fractions are allowed, 0 where it does not. A graceful shutdown ends before that, whatever drain-timeout-ms says.",
