List entry points in proportion to the capacity and load of instances

Callers choose at random among the addresses of /v1/entries, so unequal instances got equal shares. With the new settings capacity-cores and capacity-link-mbps an instance publishes a weight in its description: the smaller of both limits, reduced in steps while its event loop is late, it has many requests in flight or its memory for bodies is nearly full. An answer then lists each instance with a probability in proportion to its weight, by a hash of workspace, instance and time slice; no address is repeated. Without these settings answers are as before, which a test compares.

--- a/src/callers/entriesHandler.ts
+++ b/src/callers/entriesHandler.ts
@@ -58,19 +58,19 @@
     }
 
     private answerRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
-        const { mesh, orders: orderService, configuration: configurationService, lifecycle, context: { settings } } = this.options;
+        const { mesh, orders: orderService, configuration: configurationService, lifecycle, context: { clock, settings } } = this.options;
         const query = new URL(request.url ?? "", "http://fleet").searchParams;
         const isRunning = lifecycle.getState() === "running" && !configurationService.isStale();
         const prefix = isRunning ? orderService.createPrefix() : undefined;
+        const caller = { workspace: query.get("workspace") ?? "", failureDomain: query.get("failureDomain") ?? "" };
         const listedEntryPoints = entryPoints.listEntryPoints({
+            ...caller,
             members: mesh.listMembers(),
-            workspace: query.get("workspace") ?? "",
-            failureDomain: query.get("failureDomain") ?? "",
             quietAfterMs: entryPoints.computeQuietAfterMs(settings),
         });
         responses.writeJsonResponse(response, {
             entries: listedEntryPoints,
-            addresses: entryPoints.listPreferredAddresses(listedEntryPoints, query.get("failureDomain") ?? ""),
+            addresses: entryPoints.listPreferredAddresses({ ...caller, entryPoints: listedEntryPoints, wallTimeMs: clock.getWallTime(), keepForMs: settings.entriesTtlMs }),
             keepForMs: settings.entriesTtlMs,
             keepForS: settings.entriesTtlMs / 1_000,
             orderKeyPrefix: prefix?.prefix,
--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -14,6 +14,7 @@
 import * as callerRequestHandler from "./callerRequestHandler.js";
 import * as auxiliaryPorts from "./auxiliaryPorts.js";
 import * as entriesHandler from "./entriesHandler.js";
+import * as entryWeightReporter from "./entryWeightReporter.js";
 import * as inFlightRequests from "./inFlightRequests.js";
 
 export type { CallerRequestHandler } from "./callerRequestHandler.js";
@@ -50,6 +51,7 @@
             executor: context.services.getService(requests.executorKey),
             rejectQueued: () => context.services.getService(admission.admissionKey).rejectAllQueued(errors.createError("draining")),
         });
+        const weightReporter = new entryWeightReporter.EntryWeightReporter({ context, mesh, countInFlight: () => inFlight.countUnwritten() });
         const auxiliary = new auxiliaryPorts.AuxiliaryPorts({ context, handler: requestHandler, entries });
         configurationService.addListener(({ document }) => {
             server.setLimits(document.limits);
@@ -60,6 +62,7 @@
             open: async () => {
                 await server.start();
                 await auxiliary.start();
+                weightReporter.start();
             },
             drain: shutdown => server.drain(shutdown),
             stop: async shutdown => {
--- a/src/peers/members.ts
+++ b/src/peers/members.ts
@@ -11,6 +11,8 @@
     /** The state that the instance itself reports. */
     state: z.enum(["starting", "running", "draining"]),
     configurationVersion: z.number(),
+    /** Its share of the callers next to the others; an instance that gives none counts as 1. */
+    weight: z.number().positive().max(1_000_000).optional().catch(undefined),
     /** Whether it accepts compressed messages; earlier releases do not. */
     acceptsCompression: z.boolean().optional().catch(undefined),
 });
--- a/src/settings/serveSettings.ts
+++ b/src/settings/serveSettings.ts
@@ -73,6 +73,10 @@
     requestBodyBytes: createIntegerSchema(0, 268_435_456, 8_388_608).describe("The largest request body, in bytes."),
     bodyBytesHeld: createIntegerSchema(1_048_576, 4_294_967_296, 268_435_456).describe("The most memory that request and response bodies occupy at once, in bytes; requests beyond it are refused."),
     memoryMb: createDecimalSchema(16_777_216, 0).describe("The memory that the platform gives the process, in MiB; bodies then occupy at most half of what it leaves beside the program. 0 where it is not limited."),
+    capacityCores: createDecimalSchema(1_000_000, 0).describe(
+        "The processor time that the platform gives the process, in cores. Callers are then told to use the instances in proportion to their capacity and load. 0 where it is not given.",
+    ),
+    capacityLinkMbps: createDecimalSchema(1_000_000_000, 0).describe("The rate of the instance's link, in Mbit/s; 20 count as a core, and the smaller of the two is the capacity. 0 where it is not given."),
     unsizedBodyBytes: createIntegerSchema(1_024, 1_099_511_627_776, 1_073_741_824).describe("The largest response body without a Content-Length, in bytes; a longer one is cut, since an upstream in trouble may send bytes without end."),
     callerConnections: createIntegerSchema(1, 1_000_000, 10_000).describe("The most callers' connections at once."),
     queueLength: createIntegerSchema(1, 1_000_000, 1_000).describe("The most queued requests for a service and rank."),
--- a/test/callers/entryPoints.test.ts
+++ b/test/callers/entryPoints.test.ts
@@ -9,6 +9,12 @@
 }
 
 const quietAfterMs = 1_000;
+const keepForMs = 1_000;
+
+function listAddresses(members: readonly peers.Member[], failureDomain: string, wallTimeMs = 0, workspace = "w"): readonly string[] {
+    const listed = entryPoints.listEntryPoints({ members, workspace, failureDomain, quietAfterMs });
+    return entryPoints.listPreferredAddresses({ entryPoints: listed, workspace, failureDomain, wallTimeMs, keepForMs });
+}
 
 void tap.test("entry points", async t => {
     /** The order of the two instances in north for the workspace of these tests. */
@@ -32,8 +38,7 @@
     const manyMembers = Array.from({ length: 9 }, (_, index) => createMember(`i${index}`, "north"));
     const firstInstanceIds = new Set(Array.from({ length: 200 }, (_, index) => entryPoints.listEntryPoints({ members: manyMembers, workspace: `w${index}`, failureDomain: "north", quietAfterMs })[0]?.instanceId));
     t.equal(firstInstanceIds.size, 9, "workspaces are distributed over all instances");
-    const testPreferredAddresses = (name: string, members: readonly peers.Member[], failureDomain: string, expected: readonly string[]) =>
-        t.strictSame([...entryPoints.listPreferredAddresses(entryPoints.listEntryPoints({ members, workspace: "w", failureDomain, quietAfterMs }), failureDomain)].sort(), expected, name);
+    const testPreferredAddresses = (name: string, members: readonly peers.Member[], failureDomain: string, expected: readonly string[]) => t.strictSame([...listAddresses(members, failureDomain)].sort(), expected, name);
     testPreferredAddresses("only the caller's failure domain if it has two instances", [north, createMember("c", "north"), south], "north", ["a:80", "c:80"]);
     testPreferredAddresses("all instances if the caller's failure domain has only one", [north, south], "north", ["a:80", "b:80"]);
 });
