--- a/src/peers/gossipRounds.ts
+++ b/src/peers/gossipRounds.ts
@@ -67,8 +67,8 @@
 
     private sendHeartbeat(heartbeat: number, receivers: readonly string[]): void {
         const { context: { identity: { incarnation } }, linkManager } = this.options;
-        const frame = wire.encodeFrame({ type: "heartbeat", incarnation, heartbeat });
-        receivers.forEach(peerId => linkManager.getLink(peerId)?.sendFrame(frame));
+        const { frame, label } = wire.encodeLabeledFrame({ type: "heartbeat", incarnation, heartbeat });
+        receivers.forEach(peerId => linkManager.getLink(peerId)?.sendFrame(frame, label));
     }
 
     private sendSummary(): void {
--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -2,14 +2,18 @@
 
 import * as crypto from "node:crypto";
 import type * as net from "node:net";
+import { err, ok } from "neverthrow";
 import { match } from "ts-pattern";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import * as frameReader from "./frameReader.js";
+import * as linkCompression from "./linkCompression.js";
 import * as wire from "./wire.js";
 
 /** A link drops messages while it buffers more unsent bytes than this multiple of the setting `frameBytes`. */
 const maximumBufferedFrames = 2;
+/** The label of received frames that are no message. */
+const invalidLabel = "invalid";
 
 /** The peer at the other end of a link. */
 export interface PeerIdentity {
@@ -33,7 +37,10 @@
     /** The shared secret of the fleet; empty if none is set. */
     readonly secret: string;
     readonly events: LinkEvents;
-    readonly countBytes: (direction: "sent" | "received", bytes: number, peer: PeerIdentity | undefined) => void;
+    /** Called with the size of each frame and the label of its message. */
+    /** Returns whether the peer accepts compressed messages. */
+    readonly isCompressionAccepted: (peer: PeerIdentity) => boolean;
+    readonly countBytes: (direction: "sent" | "received", bytes: number, peer: PeerIdentity | undefined, label: string) => void;
 }
 
 /** A link is open after both the hello and the proof of the peer have been received. */
@@ -48,6 +55,8 @@
     private readonly reader: frameReader.FrameReader;
     private readonly nonce: string;
     private state: LinkState = { kind: "awaitingHello" };
+    /** Set while the link is open, if the peer is in another failure domain. */
+    private compression?: linkCompression.LinkCompression;
     private lastReceivedAt: number;
 
     constructor(private readonly options: CreatePeerLinkOptions) {
@@ -95,19 +104,20 @@
      * @param message - The message.
      */
     sendMessage(message: wire.Message): boolean {
-        return this.sendFrame(wire.encodeFrame(message));
+        return this.sendFrame(wire.encodeFrame(message), wire.createLabel(message));
     }
 
     /**
      * Sends an encoded message; otherwise like `sendMessage`. A frame that goes to several peers needs encoding only once.
      * @param frame - The encoded message.
+     * @param label - The label of the message in metrics.
      */
-    sendFrame(frame: Buffer): boolean {
+    sendFrame(frame: Buffer, label: string): boolean {
         const limit = this.options.context.settings.frameBytes * maximumBufferedFrames;
         if (!this.isOpen() || this.options.socket.writableLength > limit) {
             return false;
         }
-        this.writeFrame(frame);
+        this.writeFrame(this.compression === undefined ? frame : this.createCompressedFrame(frame, this.compression), label);
         return true;
     }
 
@@ -127,24 +137,31 @@
     }
 
     private writeMessage(message: wire.Message): void {
-        this.writeFrame(wire.encodeFrame(message));
+        this.writeFrame(wire.encodeFrame(message), wire.createLabel(message));
     }
 
-    private writeFrame(frame: Buffer): void {
-        this.options.countBytes("sent", frame.length, this.getPeer());
+    private writeFrame(frame: Buffer, label: string): void {
+        this.options.countBytes("sent", frame.length, this.getPeer(), label);
         this.options.socket.write(frame);
     }
 
+    private createCompressedFrame(frame: Buffer, compression: linkCompression.LinkCompression): Buffer {
+        const peer = this.getPeer();
+        return wire.createFrame(compression.encodeBody(frame.subarray(wire.lengthPrefixBytes), peer !== undefined && this.options.isCompressionAccepted(peer)));
+    }
+
     private receiveChunk(chunk: Buffer): void {
         this.lastReceivedAt = this.options.context.clock.getNow();
-        this.options.countBytes("received", chunk.length, this.getPeer());
         this.reader.readFrames(chunk)
             .andThen(bodies => {
                 for (const body of bodies) {
-                    const handled = wire.decodeMessage(body).map(message => this.handleMessage(message));
-                    if (handled.isErr()) {
-                        return handled;
+                    const decoded = (this.compression?.decodeBody(body) ?? ok(body)).andThen(decompressed => wire.decodeMessage(decompressed));
+                    const label = decoded.isOk() ? wire.createLabel(decoded.value) : invalidLabel;
+                    this.options.countBytes("received", wire.lengthPrefixBytes + body.length, this.getPeer(), label);
+                    if (decoded.isErr()) {
+                        return err(decoded.error);
                     }
+                    this.handleMessage(decoded.value);
                 }
                 return this.reader.readFrames(Buffer.alloc(0));
             })
@@ -196,6 +213,7 @@
             return this.rejectPeer("the peer does not know the shared secret");
         }
         this.state = { kind: "open", peer };
+        this.compression = peer.failureDomain === this.options.context.identity.failureDomain ? undefined : new linkCompression.LinkCompression();
         this.options.events.onOpen(this);
     }
 
--- a/src/peers/wire.ts
+++ b/src/peers/wire.ts
@@ -2,6 +2,7 @@
 
 import { Decoder, Encoder } from "cbor-x";
 import { err, ok, type Result } from "neverthrow";
+import { match } from "ts-pattern";
 import * as z from "zod";
 import * as errors from "../kernel/errors.js";
 import * as nesting from "../kernel/nesting.js";
@@ -80,13 +81,34 @@
  * @param message - The message.
  */
 export function encodeFrame(message: Message): Buffer {
-    const body = encoder.encode(message);
+    return createFrame(encoder.encode(message));
+}
+
+/** Encodes a message that goes to several peers, with its label in metrics. */
+export function encodeLabeledFrame(message: Message): { readonly frame: Buffer; readonly label: string; } {
+    return { frame: encodeFrame(message), label: createLabel(message) };
+}
+
+/**
+ * Creates a frame: the length prefix and the body.
+ * @param body - An encoded message, which may be compressed.
+ */
+export function createFrame(body: Buffer): Buffer {
     const frame = Buffer.allocUnsafe(lengthPrefixBytes + body.length);
     frame.writeUInt32BE(body.length, 0);
-    body.copy(frame, lengthPrefixBytes);
+    frame.set(body, lengthPrefixBytes);
     return frame;
 }
 
+/** Returns the label of a message in metrics: its type, and the topic if it has one; registers of several topics have the topic `mixed`. */
+export function createLabel(message: Message): string {
+    return match(message)
+        .with({ type: "registers" }, ({ type, registers }) => `${type}:${registers.every(({ topic }) => topic === registers[0]?.topic) ? registers[0]?.topic ?? "none" : "mixed"}`)
+        .with({ type: "notice" }, { type: "request" }, ({ type, topic }) => `${type}:${topic}`)
+        .with({ type: "hello" }, { type: "proof" }, { type: "heartbeat" }, { type: "heartbeats" }, { type: "summary" }, { type: "digest" }, { type: "reply" }, { type: "refusal" }, ({ type }) => type)
+        .exhaustive();
+}
+
 /**
  * Decodes and validates the body of a frame.
  * @param body - The bytes after the length prefix.
--- a/src/settings/serveSettings.ts
+++ b/src/settings/serveSettings.ts
@@ -73,12 +73,19 @@
     requestBodyBytes: createIntegerSchema(0, 268_435_456, 8_388_608).describe("The largest request body, in bytes."),
     bodyBytesHeld: createIntegerSchema(1_048_576, 4_294_967_296, 268_435_456).describe("The most memory that request and response bodies occupy at once, in bytes; requests beyond it are refused."),
     memoryMb: createDecimalSchema(16_777_216, 0).describe("The memory that the platform gives the process, in MiB; bodies then occupy at most half of what it leaves beside the program. 0 where it is not limited."),
+    capacityCores: createDecimalSchema(1_000_000, 0).describe(
+        "The processor time that the platform gives the process, in cores. Callers are then told to use the instances in proportion to their capacity and load. 0 where it is not given.",
+    ),
+    capacityLinkMbps: createDecimalSchema(1_000_000_000, 0).describe("The rate of the instance's link, in Mbit/s; 20 count as a core, and the smaller of the two is the capacity. 0 where it is not given."),
     unsizedBodyBytes: createIntegerSchema(1_024, 1_099_511_627_776, 1_073_741_824).describe("The largest response body without a Content-Length, in bytes; a longer one is cut, since an upstream in trouble may send bytes without end."),
     callerConnections: createIntegerSchema(1, 1_000_000, 10_000).describe("The most callers' connections at once."),
     queueLength: createIntegerSchema(1, 1_000_000, 1_000).describe("The most queued requests for a service and rank."),
     retryRatio: createDecimalSchema(1_000, 0.1).describe("The repeats that the whole fleet may send a service, as a part of its requests; fractions and 0 are allowed."),
     retrySlack: createDecimalSchema(1_000_000_000, 300).describe("The repeats that the whole fleet may send a service in a window beside that part; fractions and 0 are allowed."),
     retryWindowS: createDecimalSchema(86_400, 10).describe("The window in which repeats are counted, in seconds; fractions are allowed, and less than 0.1 counts as 0.1."),
+    retrySlackSharing: z.enum(["equal", "demand"]).default("equal").describe(
+        "Who may use the slack of the repeats: each instance an equal part of it, or those that need more also what others lend them.",
+    ),
     drainTimeoutMs: createIntegerSchema(0, 86_400_000, 900_000).describe("The longest graceful shutdown, in milliseconds; what is then in flight is cut."),
     killAfterS: createDecimalSchema(86_400, 0).describe(
         "How long after SIGTERM the platform kills the process, in seconds; fractions are allowed, 0 where it does not. A graceful shutdown ends before that, whatever drain-timeout-ms says.",
