Keep the requests of a workspace within its quota over all instances

Cause: the configuration has quotas, and nothing enforced them. Each instance alone can't, since callers of one workspace enter at few instances that change.

Change: the plug-in quotas. Each instance delegates its equal part of every limit to one owner for each of 24 groups of workspaces, at most to one at a time; the owner holds a token bucket that fills at the part delegated to it, and grants tokens that are valid for 400 ms. A request is admitted after its body was read and before it is queued; a refusal has a Retry-After from the owner's bucket.

--- a/src/callers/callerRequestHandler.ts
+++ b/src/callers/callerRequestHandler.ts
@@ -6,6 +6,7 @@
 import * as errors from "../kernel/errors.js";
 import type * as kernel from "../kernel/kernel.js";
 import type * as orders from "../orders/index.js";
+import type * as quotas from "../quotas/index.js";
 import * as requests from "../requests/index.js";
 import * as workspaces from "../workspaces/index.js";
 import * as responses from "./responses.js";
@@ -27,6 +28,7 @@
     readonly entries: entriesHandler.EntriesHandler;
     readonly executor: requests.ExecutorContext;
     readonly orders: orders.OrderService;
+    readonly quotas: quotas.QuotaService;
     readonly lifecycle: kernel.Lifecycle;
     readonly inFlight: inFlightRequests.InFlightRequests;
 }
@@ -163,8 +165,16 @@
             await this.rejectRequest(request, response, orderKeyText, refusal, routedRequest);
             return;
         }
+        const permit = await this.options.quotas.acquire(routedRequest.workspace);
+        if (permit.isErr()) {
+            await this.rejectRequest(request, response, orderKeyText, permit.error, routedRequest);
+            return;
+        }
         if (route.repeatable) {
             const summary = await requests.runWithRetries(executor, routedRequest, response);
+            if (summary.outcome === "not-executed") {
+                permit.value.restoreCredit();
+            }
             if (summary.error !== undefined) {
                 responses.writeErrorResponse(response, summary.error, context, summary.attempts);
             }
@@ -179,9 +189,18 @@
         const orderResult = await this.waitForOrderResult(run, routedRequest.deadlineAt);
         responses.writeOrderResult(response, orderResult, context);
         const outcome = orderResult.kind === "answer" ? orderResult.outcome : errors.getErrorDefinition(orderResult.error).outcome;
+        if (outcome === "not-executed" || this.isFromOtherInstance(orderResult)) {
+            permit.value.restoreCredit();
+        }
         this.recordCompletion(routedRequest, startedAt, { outcome, status: response.statusCode, attempts: orderResult.attempts, error: orderResult.kind === "error" ? orderResult.error : undefined, body: "none" });
     }
 
+    /** Returns whether another instance, which owns the order key, has run the order and charged it to the quota. */
+    private isFromOtherInstance(orderResult: orders.OrderResult): boolean {
+        const [instanceId] = orderResult.kind === "answer" ? requests.getHeaderValues(orderResult.response.rawHeaders, requests.fleetHeaders.instance) : [];
+        return instanceId !== undefined && instanceId !== this.options.context.identity.instanceId;
+    }
+
     private recordCompletion(request: requests.RoutedRequest, startedAt: number, result: Pick<requests.ExecutionSummary, "outcome" | "status" | "attempts" | "error" | "body">): void {
         const { route: { name: route, service, rank }, requestId, trail, workspace } = request;
         const latencyMs = this.options.context.clock.getNow() - startedAt;
--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -9,6 +9,7 @@
 import * as orders from "../orders/index.js";
 import * as peers from "../peers/index.js";
 import * as pool from "../pool/index.js";
+import * as quotas from "../quotas/index.js";
 import * as requests from "../requests/index.js";
 import * as callerServer from "./callerServer.js";
 import * as callerRequestHandler from "./callerRequestHandler.js";
@@ -23,7 +24,7 @@
 
 plugins.registerPlugin({
     name: "callers",
-    dependsOn: ["admission", "configuration", "orders", "peers", "pool", "requests"],
+    dependsOn: ["admission", "configuration", "orders", "peers", "pool", "quotas", "requests"],
     create: context => {
         const mesh = context.services.getService(peers.meshKey);
         const orderService = context.services.getService(orders.orderServiceKey);
@@ -37,6 +38,7 @@
             entries,
             executor: context.services.getService(requests.executorKey),
             orders: orderService,
+            quotas: context.services.getService(quotas.quotaServiceKey),
             lifecycle,
             inFlight,
         });
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -209,9 +209,9 @@
         return this.fleetTopology.listRelayPeers(this.linkManager.listLinkedPeers());
     }
 
-    /** Returns whether this instance is a relay of its cell. */
-    isCellRelay(): boolean {
-        return this.fleetTopology.getCurrent().isRelay(this.context.identity.instanceId);
+    /** Returns whether an instance, by default this one, is a relay of its cell. */
+    isCellRelay(instanceId = this.context.identity.instanceId): boolean {
+        return this.fleetTopology.getCurrent().isRelay(instanceId);
     }
 
     /** Returns whether the instances are linked in cells, rather than all with one another. */
--- a/src/plugins.ts
+++ b/src/plugins.ts
@@ -10,6 +10,7 @@
 import "./orders/index.js";
 import "./peers/index.js";
 import "./pool/index.js";
+import "./quotas/index.js";
 import "./requests/index.js";
 import "./upstreamHealth/index.js";
 import "./store/index.js";
--- /dev/null
+++ b/src/quotas/quotaOwner.ts
@@ -0,0 +1,82 @@
+/** Grants tokens of the workspaces that other instances take this one for the owner of. Needs no network, timers or logs. */
+
+import * as delegationTable from "./delegationTable.js";
+import * as quotaAccount from "./quotaAccount.js";
+import * as quotaLimits from "./quotaLimits.js";
+import type * as quotaMessages from "./quotaMessages.js";
+
+/** Options of an owner. */
+export interface CreateQuotaOwnerOptions {
+    readonly incarnation: number;
+    readonly now: number;
+}
+
+/** Holds the delegations and the accounts of an instance. */
+export class QuotaOwner {
+    private readonly delegations: delegationTable.DelegationTable;
+    private accounts = new Map<number, { readonly limit: quotaLimits.QuotaLimit; readonly account: quotaAccount.QuotaAccount; }>();
+
+    constructor(private readonly options: CreateQuotaOwnerOptions) {
+        this.delegations = new delegationTable.DelegationTable(options.now);
+    }
+
+    /** Applies the limits of a configuration, the lower ones at once. */
+    setLimits(limits: readonly quotaLimits.QuotaLimit[], now: number): void {
+        this.accounts = new Map(limits.map(limit => {
+            const current = this.computeShare(limit.shard, now);
+            const known = this.accounts.get(limit.key);
+            known?.account.setLimit(limit, current);
+            return [limit.key, { limit, account: known?.account ?? new quotaAccount.QuotaAccount(limit, current) }];
+        }));
+    }
+
+    /** Sets the number of instances among which the limits are divided. */
+    setMemberCount(count: number, now: number): void {
+        this.delegations.setMemberCount(count, now);
+    }
+
+    /** Forgets delegations that have ended and removes the tokens that they were worth. */
+    runTick(now: number): void {
+        this.delegations.removeExpired(now);
+        for (const { limit, account } of this.accounts.values()) {
+            account.applyShare(this.computeShare(limit.shard, now));
+        }
+    }
+
+    /**
+     * Sets the shards that this instance delegates to itself.
+     * @param change - Their end may be later than now by the lifetime of a delegation.
+     */
+    setOwnDelegation(change: delegationTable.DelegationChange, now: number): void {
+        this.delegations.applyChange(change, now);
+    }
+
+    /** Answers a request for tokens. */
+    receiveAsk(ask: quotaMessages.Ask, now: number): quotaMessages.Reply {
+        const { stamp } = ask;
+        // Without a stamp of this process that it has given itself, the message may have waited for any time.
+        const isStampValid = stamp !== undefined && stamp.incarnation === this.options.incarnation && stamp.time <= now;
+        this.delegations.applyChange({ instanceId: ask.instanceId, incarnation: ask.incarnation, sequence: ask.sequence, shards: ask.shards, until: isStampValid ? stamp.time + quotaLimits.delegationLifetimeMs : -Infinity }, now);
+        const grants = ask.wants.flatMap(({ key, tokens, returned }) => this.takeTokens(key, tokens, returned, now) ?? []);
+        return { stamp: { incarnation: this.options.incarnation, time: now }, memberCount: this.delegations.getMemberCount(), grants };
+    }
+
+    /** Takes tokens of one workspace; undefined if it has no limit here. */
+    takeTokens(key: number, tokens: number, returned: number, now: number): quotaMessages.WorkspaceGrant | undefined {
+        const known = this.accounts.get(key);
+        if (known === undefined) {
+            return undefined;
+        }
+        const { limit, account } = known;
+        return { key, requestsPerSecond: limit.requestsPerSecond, ...account.takeTokens(tokens, returned, this.computeShare(limit.shard, now)) };
+    }
+
+    /** Returns the part of the limits of a shard that is delegated to this owner, from 0 to 1. */
+    getShare(shard: number, now: number): number {
+        return this.delegations.getShare(shard, now);
+    }
+
+    private computeShare(shard: number, now: number): quotaAccount.AccountShare {
+        return { now, share: this.delegations.getShare(shard, now), creditMs: this.delegations.getCreditMs(shard, now) };
+    }
+}
--- /dev/null
+++ b/src/quotas/workspaceDemand.ts
@@ -0,0 +1,169 @@
+/** The requests of one workspace at this instance: those that wait for a token, and what is known of when there will be one. */
+
+import type * as quotaLimits from "./quotaLimits.js";
+import * as tokenStock from "./tokenStock.js";
+
+/** The longest that a request waits for a token, in milliseconds. It covers the way to an owner and a bucket that is empty for a moment. */
+export const maximumWaitMs = 100;
+/** More requests than this, besides those for which the limit accrues a token while they wait, are not held. */
+const minimumWaiting = 8;
+/** An owner that had no token is asked again after this time at the latest, in milliseconds. */
+const askAgainMs = 50;
+/** The least and the most that a caller is asked to wait, in milliseconds. */
+const minimumRetryAfterMs = 20;
+const maximumRetryAfterMs = 10_000;
+
+/** How a request for a token ended. */
+export type Decision =
+    /** A token until the given time, and how long the request waited for it. */
+    | { readonly kind: "granted"; readonly expiresAt: number; readonly waitedMs: number; }
+    | { readonly kind: "refused"; readonly retryAfterMs: number; readonly waitedMs: number; };
+
+interface Waiter {
+    readonly since: number;
+    readonly resolve: (decision: Decision) => void;
+}
+
+/** Holds what this instance knows of one limited workspace. */
+export class WorkspaceDemand {
+    readonly stock: tokenStock.TokenStock;
+    private waiters: Waiter[] = [];
+    /** Tokens asked for in messages without a reply so far. */
+    private asked = 0;
+    /** When the owner expects to have a token for this instance. */
+    private roomAt = 0;
+    private askAt = 0;
+    private refusals = 0;
+    private usedAt: number;
+
+    constructor(private limit: quotaLimits.QuotaLimit, now: number) {
+        this.stock = new tokenStock.TokenStock(now);
+        this.usedAt = now;
+    }
+
+    /** Returns the limit. */
+    getLimit(): quotaLimits.QuotaLimit {
+        return this.limit;
+    }
+
+    /** Applies a changed limit; tokens of a higher one are not used any longer. */
+    setLimit(limit: quotaLimits.QuotaLimit): void {
+        if (limit.requestsPerSecond < this.limit.requestsPerSecond || limit.burst < this.limit.burst) {
+            this.stock.removeTokens();
+        }
+        this.limit = limit;
+    }
+
+    /**
+     * Admits a request if there is a token, refuses it if there will be none soon, and lets it wait otherwise.
+     * @returns Whether the request waits.
+     */
+    addRequest(now: number, resolve: (decision: Decision) => void): boolean {
+        this.usedAt = now;
+        this.stock.recordRequest(now);
+        const expiresAt = this.waiters.length === 0 ? this.stock.takeToken(now) : undefined;
+        if (expiresAt !== undefined) {
+            resolve({ kind: "granted", expiresAt, waitedMs: 0 });
+            return false;
+        }
+        const isFull = this.waiters.length >= minimumWaiting + this.limit.tokensPerMs * maximumWaitMs;
+        if (isFull || this.roomAt > now + maximumWaitMs) {
+            resolve(this.createRefusal(now, now));
+            return false;
+        }
+        this.waiters.push({ since: now, resolve });
+        return true;
+    }
+
+    /**
+     * Returns the number of tokens to ask the owner for now.
+     * @param isAhead - Whether tokens are also wanted for the requests that are expected soon.
+     */
+    countWanted(now: number, isAhead: boolean): number {
+        if (now < this.askAt) {
+            return 0;
+        }
+        const target = isAhead ? this.stock.computeTarget(now, this.limit) : 0;
+        return Math.max(0, this.waiters.length + target - this.stock.countTokens(now) - this.asked);
+    }
+
+    /** Returns whether so few tokens are left that more should be asked for ahead of need. */
+    isLow(now: number): boolean {
+        const target = this.stock.computeTarget(now, this.limit);
+        return now >= this.askAt && target > 0 && this.stock.countTokens(now) + this.asked <= target / 2;
+    }
+
+    /** Records that a message asks for tokens. */
+    recordAsk(tokens: number): void {
+        this.asked += tokens;
+    }
+
+    /** Records that a message with this many tokens has got its reply, or none in time. */
+    recordAskEnd(tokens: number): void {
+        this.asked -= tokens;
+    }
+
+    /**
+     * Applies an owner's answer.
+     * @param tokens - Tokens granted.
+     * @param retryAfterMs - After how long the owner expects a token for this instance; 0 if it granted all that was asked for.
+     * @param expiresAt - When the tokens expire.
+     */
+    applyGrant(tokens: number, retryAfterMs: number, expiresAt: number, now: number): void {
+        if (expiresAt > now) {
+            this.stock.addTokens(tokens, expiresAt);
+        }
+        this.roomAt = retryAfterMs === 0 ? 0 : now + retryAfterMs;
+        this.askAt = retryAfterMs === 0 ? 0 : now + Math.min(askAgainMs, retryAfterMs);
+        this.refusals = 0;
+        this.resolveWaiters(now);
+    }
+
+    /** Admits waiting requests, oldest first, and refuses those for which there will be no token in time. */
+    resolveWaiters(now: number): void {
+        while (this.waiters.length > 0) {
+            const expiresAt = this.stock.takeToken(now);
+            if (expiresAt === undefined) {
+                break;
+            }
+            const { since, resolve } = this.waiters.shift()!;
+            resolve({ kind: "granted", expiresAt, waitedMs: now - since });
+        }
+        const late = this.waiters.filter(({ since }) => this.isLate(since, now));
+        this.waiters = this.waiters.filter(({ since }) => !this.isLate(since, now));
+        late.forEach(({ since, resolve }) => resolve(this.createRefusal(since, now)));
+    }
+
+    /** Returns whether requests wait for a token. */
+    hasWaiters(): boolean {
+        return this.waiters.length > 0;
+    }
+
+    /** Returns when the owner may be asked again, or 0 if it may be at any time. */
+    getAskAt(): number {
+        return this.askAt;
+    }
+
+    /** Forgets when there will be a token, because another instance is the owner now. */
+    removeForecast(): void {
+        this.roomAt = 0;
+        this.askAt = 0;
+    }
+
+    /** Returns whether the workspace had no request for a time and nothing is under way. */
+    isIdle(idleMs: number, now: number): boolean {
+        return now - this.usedAt > idleMs && this.waiters.length === 0 && this.asked === 0;
+    }
+
+    private isLate(since: number, now: number): boolean {
+        return now >= since + maximumWaitMs || this.roomAt > since + maximumWaitMs;
+    }
+
+    private createRefusal(since: number, now: number): Decision {
+        // One refused caller after the other is told a later time, so that they do not come back together.
+        const spreadMs = this.refusals / this.limit.tokensPerMs;
+        this.refusals += 1;
+        const roomInMs = Math.max(minimumRetryAfterMs, this.roomAt - now);
+        return { kind: "refused", retryAfterMs: Math.ceil(Math.min(maximumRetryAfterMs, roomInMs + spreadMs)), waitedMs: now - since };
+    }
+}
--- /dev/null
+++ b/test/quotas/virtualFleet.ts
@@ -0,0 +1,312 @@
+/** Instances with quotas in virtual time: messages with delays, cuts, freezes, kills and lost messages, without network and processes. */
+
+import * as randomness from "../../src/kernel/randomness.js";
+import * as topology from "../../src/peers/topology.js";
+import type * as knownMembers from "../../src/quotas/knownMembers.js";
+import * as quotaLimits from "../../src/quotas/quotaLimits.js";
+import type * as quotaMessages from "../../src/quotas/quotaMessages.js";
+import * as quotaNode from "../../src/quotas/quotaNode.js";
+
+const windowMs = 5_000;
+const heartbeatMs = 250;
+const suspectAfterMs = 2_000;
+const deadAfterMs = 10_000;
+const gossipDelayMs = 60;
+const domains = ["north", "middle", "south"];
+
+/** Runs tasks in order of their millisecond. */
+export class Timeline {
+    now = 1_000;
+    private readonly tasks = new Map<number, (() => void)[]>();
+
+    readonly scheduleOnce = (delayMs: number, task: () => void): () => void => {
+        let isCancelled = false;
+        const at = this.now + Math.max(1, Math.round(delayMs));
+        const due = this.tasks.get(at) ?? [];
+        this.tasks.set(at, due);
+        due.push(() => isCancelled ? undefined : task());
+        return () => {
+            isCancelled = true;
+        };
+    };
+
+    /** Advances the time and runs what becomes due. */
+    addTime(durationMs: number): void {
+        for (const until = this.now + durationMs; this.now < until;) {
+            this.now += 1;
+            this.tasks.get(this.now)?.forEach(task => task());
+            this.tasks.delete(this.now);
+        }
+    }
+}
+
+/** Counts what was executed by workspace, and how far it exceeds the bound of the page. */
+export class ExecutionLog {
+    private readonly times = new Map<string, number[]>();
+
+    /** Records an execution. */
+    addExecution(workspace: string, now: number): void {
+        const times = this.times.get(workspace) ?? [];
+        this.times.set(workspace, times);
+        times.push(now);
+    }
+
+    /** Returns the number of executions of a workspace. */
+    countExecutions(workspace: string): number {
+        return this.times.get(workspace)?.length ?? 0;
+    }
+
+    /** Returns by how many requests the worst window exceeds a bound; negative if none does. */
+    computeExcess(workspace: string, bound: number): number {
+        const times = this.times.get(workspace) ?? [];
+        let first = 0;
+        let most = 0;
+        times.forEach((time, index) => {
+            while (times[first]! <= time - windowMs) {
+                first += 1;
+            }
+            most = Math.max(most, index - first + 1);
+        });
+        return most - bound;
+    }
+}
+
+/** The bound that must never be exceeded in a window of 5 s, with or without its tolerance. */
+export function computeBound({ requestsPerSecond, burst }: quotaLimits.Quota, hasTolerance = true): number {
+    const limit = requestsPerSecond * windowMs / 1_000 + burst;
+    return hasTolerance ? limit * 1.1 + 20 : limit;
+}
+
+interface VirtualInstance {
+    readonly id: string;
+    readonly failureDomain: string;
+    node: quotaNode.QuotaNode;
+    incarnation: number;
+    frozenUntil: number;
+    isKilled: boolean;
+    isDraining: boolean;
+    /** When each instance was last heard of. */
+    readonly heard: Map<string, number>;
+    limits: readonly quotaLimits.QuotaLimit[];
+    pausedRelay: string;
+    view: topology.Topology;
+}
+
+/** Options of a virtual fleet. */
+export interface CreateVirtualFleetOptions {
+    readonly seed: number;
+    readonly count: number;
+    /** Whether the instances are linked in cells. */
+    readonly hasCells: boolean;
+    /** The part of messages that are lost, from 0 to 1. */
+    readonly lossRate?: number;
+}
+
+/** Drives the nodes of a fleet. */
+export class VirtualFleet {
+    readonly time = new Timeline();
+    readonly random: randomness.Randomness;
+    readonly instances: VirtualInstance[] = [];
+    readonly log = new ExecutionLog();
+    messages = 0;
+    ownerChanges = 0;
+    readonly waits: number[] = [];
+    /** Two instances whose group differs can't reach each other. */
+    private readonly groups = new Map<string, number>();
+    private readonly topologies = new Map<string, topology.Topology>();
+    private limits: readonly quotaLimits.QuotaLimit[] = [];
+
+    constructor(private readonly options: CreateVirtualFleetOptions) {
+        this.random = randomness.createSeededRandomness(options.seed);
+        for (let index = 0; index < options.count; index += 1) {
+            this.addInstance();
+        }
+        this.instances.forEach(instance => this.instances.forEach(other => instance.heard.set(other.id, this.time.now)));
+        this.instances.forEach(instance => this.applyView(instance));
+    }
+
+    /** Adds an instance, which knows only itself at first. */
+    addInstance(): void {
+        const index = this.instances.length;
+        const instance = { id: `i${index}`, failureDomain: domains[index % domains.length]!, incarnation: 0, frozenUntil: 0, isKilled: false, isDraining: false, heard: new Map<string, number>(), limits: this.limits, pausedRelay: "" } as unknown as VirtualInstance;
+        this.instances.push(instance);
+        this.startNode(instance);
+        this.scheduleTick(instance);
+        this.scheduleHeartbeat(instance);
+    }
+
+    /** Sets limits, on each instance after a delay of its own. */
+    setQuotas(quotas: Readonly<Record<string, quotaLimits.Quota>>, maximumDelayMs = 0): void {
+        this.limits = Object.entries(quotas).map(([name, quota]) => quotaLimits.createQuotaLimit(name, quota));
+        const { limits } = this;
+        for (const instance of this.instances) {
+            const apply = () => {
+                instance.limits = limits;
+                instance.node.setLimits(limits);
+            };
+            if (maximumDelayMs === 0) {
+                apply();
+                continue;
+            }
+            this.schedule(instance, this.random.getFraction() * maximumDelayMs, apply);
+        }
+    }
+
+    /** Sends a request to an instance; the listener learns whether it was executed. */
+    sendRequest(index: number, workspace: string, listener: (isExecuted: boolean) => void = () => {}): void {
+        const instance = this.instances[index]!;
+        if (instance.isKilled) {
+            return;
+        }
+        const limit = instance.limits.find(({ name }) => name === workspace);
+        this.schedule(instance, 0, () =>
+            limit && instance.node.addRequest(limit, decision => {
+                this.waits.push(decision.waitedMs);
+                if (decision.kind === "granted") {
+                    this.log.addExecution(workspace, this.time.now);
+                }
+                listener(decision.kind === "granted");
+            }));
+    }
+
+    /** Freezes an instance: what it would do and receive happens afterwards. */
+    freeze(index: number, durationMs: number): void {
+        this.instances[index]!.frozenUntil = this.time.now + durationMs;
+    }
+
+    /** Kills an instance; it restarts after a time, knowing nobody. */
+    kill(index: number, restartAfterMs: number): void {
+        const instance = this.instances[index]!;
+        if (instance.isKilled) {
+            return;
+        }
+        instance.isKilled = true;
+        this.time.scheduleOnce(restartAfterMs, () => {
+            instance.isKilled = false;
+            instance.heard.clear();
+            this.startNode(instance);
+        });
+    }
+
+    /** Cuts the instances with the given indexes off from the others for a time. */
+    cut(indexes: readonly number[], durationMs: number): void {
+        const group = this.groups.size + 1 + this.random.getFraction();
+        indexes.forEach(index => this.groups.set(this.instances[index % this.instances.length]!.id, group));
+        this.time.scheduleOnce(durationMs, () => this.groups.clear());
+    }
+
+    private startNode(instance: VirtualInstance): void {
+        instance.incarnation += 1;
+        instance.heard.set(instance.id, this.time.now);
+        instance.node = new quotaNode.QuotaNode({
+            selfId: instance.id,
+            incarnation: instance.incarnation,
+            getNow: () => this.time.now,
+            loop: { scheduleOnce: (delayMs, task) => this.schedule(instance, delayMs, task) },
+            sendAsk: (ask, listener) => this.sendAsk(instance, ask, listener),
+            onOwnerChange: () => {
+                this.ownerChanges += 1;
+            },
+            onTokens: () => {},
+        });
+        instance.node.setLimits(instance.limits);
+        this.applyView(instance);
+    }
+
+    /** Schedules what one process of an instance does: not at all after it was killed, and later while it is frozen. */
+    private schedule(instance: VirtualInstance, delayMs: number, task: () => void): () => void {
+        const { incarnation } = instance;
+        const run = () => {
+            if (instance.frozenUntil > this.time.now) {
+                this.time.scheduleOnce(instance.frozenUntil - this.time.now, run);
+            } else if (instance.incarnation === incarnation && !instance.isKilled) {
+                task();
+            }
+        };
+        return this.time.scheduleOnce(delayMs, run);
+    }
+
+    private scheduleTick(instance: VirtualInstance): void {
+        this.time.scheduleOnce(quotaNode.tickIntervalMs * (0.8 + 0.4 * this.random.getFraction()), () => {
+            if (!instance.isKilled && instance.frozenUntil <= this.time.now) {
+                this.applyView(instance);
+            }
+            this.scheduleTick(instance);
+        });
+    }
+
+    private scheduleHeartbeat(instance: VirtualInstance): void {
+        this.time.scheduleOnce(heartbeatMs, () => {
+            if (!instance.isKilled && instance.frozenUntil <= this.time.now) {
+                this.instances.filter(other => this.isReachable(instance, other)).forEach(other => this.schedule(other, gossipDelayMs, () => other.heard.set(instance.id, this.time.now)));
+            }
+            this.scheduleHeartbeat(instance);
+        });
+    }
+
+    private isReachable(a: VirtualInstance, b: VirtualInstance): boolean {
+        return !a.isKilled && !b.isKilled && this.groups.get(a.id) === this.groups.get(b.id);
+    }
+
+    private applyView(instance: VirtualInstance): void {
+        const { now } = this.time;
+        instance.heard.set(instance.id, now);
+        const members = this.instances.filter(({ id }) => now - (instance.heard.get(id) ?? -Infinity) < deadAfterMs).map(other => ({
+            instanceId: other.id,
+            failureDomain: other.failureDomain,
+            state: now - instance.heard.get(other.id)! > suspectAfterMs ? "suspect" as const : other.isDraining ? "draining" as const : "running" as const,
+        }));
+        instance.view = this.getTopology(members);
+        const candidates = members.filter(({ instanceId, state }) => state === "running" && (!this.options.hasCells || instance.view.isRelay(instanceId))).map(({ instanceId }) => instanceId);
+        instance.node.runTick({ members: members satisfies readonly knownMembers.ListedMember[], candidates, expectedCount: members.length === 1 && this.options.count > 1 ? 50 : 1 });
+    }
+
+    private getTopology(members: readonly (knownMembers.ListedMember & { readonly failureDomain: string; })[]): topology.Topology {
+        const key = members.map(({ instanceId, state }) => `${instanceId} ${state}`).join();
+        const cached = this.topologies.get(key) ?? new topology.Topology({
+            members: members.map(member => ({ ...member, isSteady: member.state === "running" })),
+            maximumCompleteSize: this.options.hasCells ? 1 : 1_000,
+            listedCount: members.length,
+            unreachable: new Set(),
+        });
+        this.topologies.set(key, cached);
+        return cached;
+    }
+
+    private sendAsk(from: VirtualInstance, ask: quotaMessages.Ask, listener: quotaNode.ReplyListener): void {
+        const owner = this.instances.find(({ id }) => id === ask.ownerId)!;
+        const relays = this.instances.filter(({ id }) => from.view.isRelay(id) && from.view.getCell(id) === from.view.getCell(from.id) && id !== from.id);
+        const isLinked = !this.options.hasCells || from.view.isRelay(from.id) || relays.includes(owner);
+        const relay = isLinked ? undefined : relays.find(({ id }) => id !== from.pausedRelay) ?? relays[0];
+        const path = relay === undefined ? [owner] : [relay, owner];
+        let isAnswered = false;
+        const timeout = this.schedule(from, 1_000, () => {
+            from.pausedRelay = relay?.id ?? "";
+            if (!isAnswered) {
+                listener(undefined);
+            }
+        });
+        const answer = (reply: quotaMessages.Reply) => {
+            isAnswered = true;
+            timeout();
+            listener(reply);
+        };
+        this.pass([from, ...path], () => {
+            const reply = owner.node.receiveAsk(ask);
+            this.pass([owner, ...[...path].reverse().slice(1), from], () => answer(reply));
+        });
+    }
+
+    /** Passes a message from the first instance to the last, unless it is lost on the way. */
+    private pass([from, to, ...rest]: readonly VirtualInstance[], task: () => void): void {
+        if (to === undefined) {
+            task();
+            return;
+        }
+        this.messages += 1;
+        if (!this.isReachable(from!, to) || this.random.getFraction() < (this.options.lossRate ?? 0)) {
+            return;
+        }
+        this.schedule(to, 1 + 2 * this.random.getFraction(), () => this.pass([to, ...rest], task));
+    }
+}
