Apply a changed share of quotas without a walk over all accounts, and measure a calm load

Cause: with 74,000 quotas a walk over all accounts ten times a second, each with a count over all delegations, would take longer than the time between two walks.

Change: a tick updates accounts of those shards only whose share fell. Limits that a new configuration leaves as they are keep their hash. The seeded test has a calm load without a workspace near its limit.

--- a/src/quotas/quotaNode.ts
+++ b/src/quotas/quotaNode.ts
@@ -86,11 +86,11 @@
         this.demands.set(limit.key, demand);
         if (demand.addRequest(now, resolve)) {
             this.options.loop.scheduleOnce(workspaceDemand.maximumWaitMs, () => demand.resolveWaiters(this.options.getNow()));
-            this.requestTokens(limit.shard, now);
+            this.dispatchAsk(limit.shard, now);
             return;
         }
         if (demand.isLow(now) && this.directory.getOwner(limit.shard) !== this.options.selfId) {
-            this.requestTokens(limit.shard, now);
+            this.dispatchAsk(limit.shard, now);
         }
     }
 
@@ -146,7 +146,7 @@
     }
 
     /** Asks the owner of a shard for what is needed, at once or some milliseconds after the last message to it. */
-    private requestTokens(shard: number, now: number): void {
+    private dispatchAsk(shard: number, now: number): void {
         const ownerId = this.directory.getOwner(shard);
         const delayMs = ownerId === this.options.selfId ? 0 : this.directory.getLastAskAt(ownerId) + minimumIntervalMs - now;
         if (delayMs <= 0) {
@@ -257,7 +257,7 @@
 
     private scheduleNextAsk(demand: workspaceDemand.WorkspaceDemand | undefined, now: number): void {
         if (demand?.hasWaiters() === true) {
-            this.options.loop.scheduleOnce(Math.max(1, demand.getAskAt() - now), () => this.requestTokens(demand.getLimit().shard, this.options.getNow()));
+            this.options.loop.scheduleOnce(Math.max(1, demand.getAskAt() - now), () => this.dispatchAsk(demand.getLimit().shard, this.options.getNow()));
         }
     }
 
--- a/src/quotas/quotaOwner.ts
+++ b/src/quotas/quotaOwner.ts
@@ -11,10 +11,18 @@
     readonly now: number;
 }
 
+interface LimitedAccount {
+    readonly limit: quotaLimits.QuotaLimit;
+    readonly account: quotaAccount.QuotaAccount;
+}
+
 /** Holds the delegations and the accounts of an instance. */
 export class QuotaOwner {
     private readonly delegations: delegationTable.DelegationTable;
-    private accounts = new Map<number, { readonly limit: quotaLimits.QuotaLimit; readonly account: quotaAccount.QuotaAccount; }>();
+    private accounts = new Map<number, LimitedAccount>();
+    private accountsByShard: readonly (readonly LimitedAccount[])[] = [];
+    /** The share of each shard at the last tick. */
+    private shares: readonly number[] = [];
 
     constructor(private readonly options: CreateQuotaOwnerOptions) {
         this.delegations = new delegationTable.DelegationTable(options.now);
@@ -28,6 +36,9 @@
             known?.account.setLimit(limit, current);
             return [limit.key, { limit, account: known?.account ?? new quotaAccount.QuotaAccount(limit, current) }];
         }));
+        const byShard = Array.from({ length: quotaLimits.shardCount }, (): LimitedAccount[] => []);
+        this.accounts.forEach(limited => byShard[limited.limit.shard]!.push(limited));
+        this.accountsByShard = byShard;
     }
 
     /** Sets the number of instances among which the limits are divided. */
@@ -35,12 +46,19 @@
         this.delegations.setMemberCount(count, now);
     }
 
-    /** Forgets delegations that have ended and removes the tokens that they were worth. */
+    /**
+     * Forgets delegations that have ended, and removes the tokens that they were worth. Other changes are applied to an
+     * account when it is used, since there may be very many accounts.
+     */
     runTick(now: number): void {
         this.delegations.removeExpired(now);
-        for (const { limit, account } of this.accounts.values()) {
-            account.applyShare(this.computeShare(limit.shard, now));
-        }
+        this.accountsByShard.forEach((accounts, shard) => {
+            const current = this.computeShare(shard, now);
+            if (current.share < (this.shares[shard] ?? 0)) {
+                accounts.forEach(({ account }) => account.applyShare(current));
+            }
+        });
+        this.shares = this.accountsByShard.map((_, shard) => this.delegations.getShare(shard, now));
     }
 
     /**
--- a/src/quotas/quotaService.ts
+++ b/src/quotas/quotaService.ts
@@ -116,12 +116,18 @@
     }
 
     private setWorkspaces(workspaces: configuration.ConfigurationDocument["workspaces"]): void {
-        const limits = Object.entries(workspaces).flatMap(([name, { quota }]) => quota === undefined || quota.requestsPerSecond === 0 ? [] : [quotaLimits.createQuotaLimit(name, quota)]);
+        const limits = Object.entries(workspaces).flatMap(([name, { quota }]) => quota === undefined || quota.requestsPerSecond === 0 ? [] : [this.getLimit(name, quota)]);
         this.limits = new Map(limits.map(limit => [limit.name, limit]));
         this.node.setLimits(limits);
         this.runTick();
     }
 
+    /** Returns the limit of the version before if it is the same; a new one costs a hash. */
+    private getLimit(name: string, quota: quotaLimits.Quota): quotaLimits.QuotaLimit {
+        const known = this.limits.get(name);
+        return known !== undefined && known.requestsPerSecond === quota.requestsPerSecond && known.burst === quota.burst ? known : quotaLimits.createQuotaLimit(name, quota);
+    }
+
     private runTick(): void {
         if (this.limits.size === 0) {
             return;
--- a/test/integration.quotas.test.ts
+++ b/test/integration.quotas.test.ts
@@ -9,7 +9,7 @@
 import * as processes from "./harness/processes.js";
 import * as standIns from "./harness/standIns.js";
 import * as resolveCaller from "../src/workspaces/resolveCaller.js";
-import * as virtualFleet from "./quotas/virtualFleet.js";
+import * as executionLog from "./quotas/executionLog.js";
 
 const quota = { requestsPerSecond: 40, burst: 40 };
 const lowerQuota = { requestsPerSecond: 10, burst: 5 };
@@ -33,7 +33,7 @@
             return dumps[0]!.shares.every((_, shard) => dumps.reduce((sum, { shares }) => sum + shares[shard]!, 0) > 0.99 * running.length / instances.length) && new Set(dumps.map(({ owners }) => [...owners].sort().join())).size === 1;
         });
     await waitUntilOwned(instances);
-    const log = new virtualFleet.ExecutionLog();
+    const log = new executionLog.ExecutionLog();
     const startedAt = performance.now();
     const retryAfters: number[] = [];
     const outcomes = new Set<string>();
@@ -90,7 +90,7 @@
         t.comment(JSON.stringify({ during, afterKill }));
         t.ok(during.executed > 0 && afterKill.executed >= 0.4 * quota.requestsPerSecond * 5);
     });
-    t.ok(log.computeExcess("limited", virtualFleet.computeBound(quota)) <= 0, `the bound is exceeded by ${log.computeExcess("limited", virtualFleet.computeBound(quota))}`);
+    t.ok(log.computeExcess("limited", executionLog.computeBound(quota)) <= 0, `the bound is exceeded by ${log.computeExcess("limited", executionLog.computeBound(quota))}`);
 
     t.strictSame([...outcomes], ["not-executed"]);
 
@@ -102,7 +102,7 @@
         });
         const counts = await sendFor(running, 5_000);
         t.comment(JSON.stringify(counts));
-        t.ok(counts.executed <= virtualFleet.computeBound(lowerQuota), `${counts.executed} executed`);
+        t.ok(counts.executed <= executionLog.computeBound(lowerQuota), `${counts.executed} executed`);
     });
     t.strictSame(instances.flatMap(instance => [...instance.listLogs("uncaught-exception"), ...instance.listLogs("task-failed"), ...instance.listLogs("quota-message-malformed")]), []);
     t.ok(instances.some(instance => instance.listLogs("quota-refused").length > 0) && instances.every(instance => instance.listLogs("quota-owner-changed").length > 0), "refusals and owners are logged");
--- a/test/quotas/quotaNode.test.ts
+++ b/test/quotas/quotaNode.test.ts
@@ -7,6 +7,8 @@
 import tap from "tap";
 import * as randomness from "../../src/kernel/randomness.js";
 import type * as quotaLimits from "../../src/quotas/quotaLimits.js";
+import * as executionLog from "./executionLog.js";
+import * as timeline from "./timeline.js";
 import * as virtualFleet from "./virtualFleet.js";
 
 const instanceCount = 38;
@@ -17,6 +19,7 @@
 const publishDelayMs = 60;
 const demandLifetimeMs = 2_000;
 
+type Demand = "calm" | "usual" | "surges";
 type Send = (index: number, workspace: string, listener: (isExecuted: boolean) => void) => void;
 
 interface Load {
@@ -25,21 +28,21 @@
 }
 
 /** Creates limits of 12 to 200 requests a second, and demand of which most workspaces use a third to nine tenths of theirs. */
-function createLoad(random: randomness.Randomness, demand: "usual" | "surges"): Load {
+function createLoad(random: randomness.Randomness, demand: Demand): Load {
     const quotas: Record<string, quotaLimits.Quota> = {};
     const rates: Record<string, number> = {};
     for (let index = 0; index < workspaceCount; index += 1) {
         const requestsPerSecond = Math.round(12 * (200 / 12) ** (random.getFraction() ** 3));
         quotas[`w${index}`] = { requestsPerSecond, burst: requestsPerSecond };
         // Single workspaces are near their limit or far above it.
-        const usual = index % 10 === 1 ? 0.95 : 0.05 + 0.25 * random.getFraction();
+        const usual = index % 10 === 1 && demand !== "calm" ? 0.95 : 0.05 + 0.25 * random.getFraction();
         rates[`w${index}`] = requestsPerSecond * (demand === "surges" && index % 10 === 0 ? 1.5 : usual);
     }
     return { quotas, rates };
 }
 
 /** Sends the load: each workspace has three callers, each of which uses one instance and changes it now and then. */
-function runLoad({ quotas, rates }: Load, fleet: { readonly time: virtualFleet.Timeline; }, random: randomness.Randomness, send: Send) {
+function runLoad({ quotas, rates }: Load, fleet: { readonly time: timeline.Timeline; }, random: randomness.Randomness, send: Send) {
     let offered = 0;
     const refusals: (() => number)[] = [];
     const { time } = fleet;
@@ -76,16 +79,16 @@
     return { offered, refusedBelow: refusals.reduce((sum, countRefused) => sum + countRefused(), 0) };
 }
 
-function computeWorstExcess(log: virtualFleet.ExecutionLog, { quotas }: Load): { readonly overLimit: number; readonly overBound: number; } {
+function computeWorstExcess(log: executionLog.ExecutionLog, { quotas }: Load): { readonly overLimit: number; readonly overBound: number; } {
     const excesses = Object.entries(quotas).map(([workspace, quota]) => ({
-        overLimit: log.computeExcess(workspace, virtualFleet.computeBound(quota, false)) / virtualFleet.computeBound(quota, false),
-        overBound: log.computeExcess(workspace, virtualFleet.computeBound(quota)),
+        overLimit: log.computeExcess(workspace, executionLog.computeBound(quota, false)) / executionLog.computeBound(quota, false),
+        overBound: log.computeExcess(workspace, executionLog.computeBound(quota)),
     }));
     return { overLimit: Math.max(...excesses.map(({ overLimit }) => overLimit)), overBound: Math.max(...excesses.map(({ overBound }) => overBound)) };
 }
 
 /** Runs the load against nodes that lease tokens from owners. */
-function runLeases(seed: number, demand: "usual" | "surges", disturb: (fleet: virtualFleet.VirtualFleet) => void = () => {}) {
+function runLeases(seed: number, demand: Demand, disturb: (fleet: virtualFleet.VirtualFleet) => void = () => {}) {
     const random = randomness.createSeededRandomness(seed);
     const load = createLoad(random, demand);
     const fleet = new virtualFleet.VirtualFleet({ seed, count: instanceCount, hasCells: true });
@@ -99,18 +102,18 @@
         messagesPerSecond: Math.round(fleet.messages / durationMs * 1_000 / instanceCount),
         bytesPerSecond: Math.round(fleet.bytes / durationMs * 1_000 / instanceCount),
         domainBytesPerSecond: Math.round(fleet.domainBytes / durationMs * 1_000 / instanceCount),
-        waitP50: waited[Math.floor(waited.length * 0.5)],
+        waitShare: waited.filter(waitMs => waitMs > 0).length / waited.length,
         waitP90: waited[Math.floor(waited.length * 0.9)],
         waitP99: waited[Math.floor(waited.length * 0.99)],
     };
 }
 
 /** Runs the load against instances that each compute their share from the demand that all have published. */
-function runShares(seed: number, demand: "usual" | "surges", cutMs = 0) {
+function runShares(seed: number, demand: Demand, cutMs = 0) {
     const random = randomness.createSeededRandomness(seed);
     const load = createLoad(random, demand);
-    const time = new virtualFleet.Timeline();
-    const log = new virtualFleet.ExecutionLog();
+    const time = new timeline.Timeline();
+    const log = new executionLog.ExecutionLog();
     let messages = 0;
     let isCut = false;
     const nodes = Array.from({ length: instanceCount }, () => ({
@@ -169,16 +172,18 @@
 
 void tap.test("leased tokens and computed shares", async t => {
     const results = {
+        leasesCalm: runLeases(4, "calm"),
         leasesUsual: runLeases(1, "usual"),
         sharesUsual: runShares(1, "usual"),
         leasesSurges: runLeases(2, "surges"),
         sharesSurges: runShares(2, "surges"),
-        leasesCut: runLeases(3, "surges", fleet => fleet.time.scheduleOnce(10_000, () => fleet.cut(Array.from({ length: 13 }, (_, index) => index), 10_000))),
+        leasesCut: runLeases(3, "surges", fleet => fleet.time.scheduleOnce(10_000, () => fleet.setCut(Array.from({ length: 13 }, (_, index) => index), 10_000))),
         sharesCut: runShares(3, "surges", 10_000),
     };
     Object.entries(results).forEach(([name, result]) => t.comment(`${name} ${JSON.stringify(result)}`));
+    t.equal(results.leasesCalm.refusedBelow, 0);
     t.ok(results.leasesUsual.refusedBelow <= results.leasesUsual.offered * 0.002, "hardly a request below the limit is refused");
-    t.ok(results.leasesSurges.refusedBelow <= results.leasesSurges.offered * 0.01);
+    t.ok(results.leasesSurges.refusedBelow <= results.leasesSurges.offered * 0.002);
     t.ok(results.leasesUsual.refusedBelow < results.sharesUsual.refusedBelow);
     t.ok(results.leasesUsual.overBound <= 0 && results.leasesSurges.overBound <= 0 && results.leasesCut.overBound <= 0);
 });
--- a/test/quotas/quotas.property.test.ts
+++ b/test/quotas/quotas.property.test.ts
@@ -3,6 +3,7 @@
 import fc from "fast-check";
 import tap from "tap";
 import type * as quotaLimits from "../../src/quotas/quotaLimits.js";
+import * as executionLog from "./executionLog.js";
 import * as virtualFleet from "./virtualFleet.js";
 
 const durationMs = 25_000;
@@ -24,12 +25,12 @@
     const indexes = Array.from({ length: count }, (_, offset) => (at + offset) % size);
     const owner = fleet.findOwner(at);
     const actions = {
-        freeze: () => indexes.forEach(position => fleet.freeze(position, forMs)),
-        freezeOwner: () => fleet.freeze(owner, forMs),
-        cut: () => fleet.cut(indexes, forMs),
-        cutOne: () => fleet.cut([at], forMs),
-        kill: () => indexes.forEach(position => fleet.kill(position, forMs)),
-        killOwner: () => fleet.kill(owner, forMs),
+        freeze: () => indexes.forEach(position => fleet.setFrozen(position, forMs)),
+        freezeOwner: () => fleet.setFrozen(owner, forMs),
+        cut: () => fleet.setCut(indexes, forMs),
+        cutOne: () => fleet.setCut([at], forMs),
+        kill: () => indexes.forEach(position => fleet.stopInstance(position, forMs)),
+        killOwner: () => fleet.stopInstance(owner, forMs),
         drain: () => {
             fleet.instances[at]!.isDraining = true;
             fleet.time.scheduleOnce(forMs, () => fleet.instances[at]!.isDraining = false);
@@ -53,7 +54,7 @@
 }
 
 void tap.test("no window has more executions than the bound", async t => {
-    await fc.assert(
+    fc.assert(
         fc.property(
             fc.record({
                 seed: fc.nat(1_000_000),
@@ -73,7 +74,7 @@
                 events.forEach(event => fleet.time.scheduleOnce(event.atMs, () => applyEvent(fleet, event)));
                 fleet.time.addTime(durationMs);
                 for (const [workspace, quota] of Object.entries(named)) {
-                    const excess = fleet.log.computeExcess(workspace, virtualFleet.computeBound(quota));
+                    const excess = fleet.log.computeExcess(workspace, executionLog.computeBound(quota));
                     if (excess > 0) {
                         throw new Error(`${workspace} ${JSON.stringify(quota)} exceeds its bound by ${excess}`);
                     }
@@ -96,12 +97,12 @@
     fleet.time.addTime(2_500);
     const before = fleet.log.countExecutions("w");
     fleet.time.addTime(5_000);
-    t.ok(fleet.log.countExecutions("w") - before <= virtualFleet.computeBound(low), `${fleet.log.countExecutions("w") - before} executed`);
+    t.ok(fleet.log.countExecutions("w") - before <= executionLog.computeBound(low), `${fleet.log.countExecutions("w") - before} executed`);
     t.ok(fleet.log.countExecutions("w") - before >= 90, "the whole lower limit is used");
 });
 
 void tap.test("the limit is used again soon after an owner is lost", async t => {
-    for (const kind of ["freeze", "kill"] as const) {
+    for (const kind of ["setFrozen", "stopInstance"] as const) {
         const fleet = new virtualFleet.VirtualFleet({ seed: 6, count: 12, hasCells: true });
         const quota = { requestsPerSecond: 100, burst: 100 };
         fleet.setQuotas({ w: quota });
--- a/test/quotas/virtualFleet.ts
+++ b/test/quotas/virtualFleet.ts
@@ -6,78 +6,16 @@
 import * as quotaLimits from "../../src/quotas/quotaLimits.js";
 import * as quotaMessages from "../../src/quotas/quotaMessages.js";
 import * as quotaNode from "../../src/quotas/quotaNode.js";
+import * as executionLog from "./executionLog.js";
+import * as timeline from "./timeline.js";
 import * as wire from "../../src/peers/wire.js";
 
-const windowMs = 5_000;
 const heartbeatMs = 250;
 const suspectAfterMs = 2_000;
 const deadAfterMs = 10_000;
 const gossipDelayMs = 60;
 const domains = ["north", "middle", "south"];
 
-/** Runs tasks in order of their millisecond. */
-export class Timeline {
-    now = 1_000;
-    private readonly tasks = new Map<number, (() => void)[]>();
-
-    readonly scheduleOnce = (delayMs: number, task: () => void): () => void => {
-        let isCancelled = false;
-        const at = this.now + Math.max(1, Math.round(delayMs));
-        const due = this.tasks.get(at) ?? [];
-        this.tasks.set(at, due);
-        due.push(() => isCancelled ? undefined : task());
-        return () => {
-            isCancelled = true;
-        };
-    };
-
-    /** Advances the time and runs what becomes due. */
-    addTime(durationMs: number): void {
-        for (const until = this.now + durationMs; this.now < until;) {
-            this.now += 1;
-            this.tasks.get(this.now)?.forEach(task => task());
-            this.tasks.delete(this.now);
-        }
-    }
-}
-
-/** Counts what was executed by workspace, and how far it exceeds the bound of the page. */
-export class ExecutionLog {
-    private readonly times = new Map<string, number[]>();
-
-    /** Records an execution. */
-    addExecution(workspace: string, now: number): void {
-        const times = this.times.get(workspace) ?? [];
-        this.times.set(workspace, times);
-        times.push(now);
-    }
-
-    /** Returns the number of executions of a workspace. */
-    countExecutions(workspace: string): number {
-        return this.times.get(workspace)?.length ?? 0;
-    }
-
-    /** Returns by how many requests the worst window exceeds a bound; negative if none does. */
-    computeExcess(workspace: string, bound: number): number {
-        const times = this.times.get(workspace) ?? [];
-        let first = 0;
-        let most = 0;
-        times.forEach((time, index) => {
-            while (times[first]! <= time - windowMs) {
-                first += 1;
-            }
-            most = Math.max(most, index - first + 1);
-        });
-        return most - bound;
-    }
-}
-
-/** The bound that must never be exceeded in a window of 5 s, with or without its tolerance. */
-export function computeBound({ requestsPerSecond, burst }: quotaLimits.Quota, hasTolerance = true): number {
-    const limit = requestsPerSecond * windowMs / 1_000 + burst;
-    return hasTolerance ? limit * 1.1 + 20 : limit;
-}
-
 interface VirtualInstance {
     readonly id: string;
     readonly failureDomain: string;
@@ -105,10 +43,10 @@
 
 /** Drives the nodes of a fleet. */
 export class VirtualFleet {
-    readonly time = new Timeline();
+    readonly time = new timeline.Timeline();
     readonly random: randomness.Randomness;
     readonly instances: VirtualInstance[] = [];
-    readonly log = new ExecutionLog();
+    readonly log = new executionLog.ExecutionLog();
     messages = 0;
     bytes = 0;
     /** Bytes between failure domains. */
@@ -184,12 +122,12 @@
     }
 
     /** Freezes an instance: what it would do and receive happens afterwards. */
-    freeze(index: number, durationMs: number): void {
+    setFrozen(index: number, durationMs: number): void {
         this.instances[index]!.frozenUntil = this.time.now + durationMs;
     }
 
     /** Kills an instance; it restarts after a time, knowing nobody. */
-    kill(index: number, restartAfterMs: number): void {
+    stopInstance(index: number, restartAfterMs: number): void {
         const instance = this.instances[index]!;
         if (instance.isKilled) {
             return;
@@ -203,7 +141,7 @@
     }
 
     /** Cuts the instances with the given indexes off from the others for a time. */
-    cut(indexes: readonly number[], durationMs: number): void {
+    setCut(indexes: readonly number[], durationMs: number): void {
         const group = this.groups.size + 1 + this.random.getFraction();
         indexes.forEach(index => this.groups.set(this.instances[index % this.instances.length]!.id, group));
         this.time.scheduleOnce(durationMs, () => this.groups.clear());
@@ -319,14 +257,14 @@
             timeout();
             listener(reply);
         };
-        this.pass([from, ...path], wire.encodeFrame({ type: "request", id: 1_000, topic: "quota", body: quotaMessages.encodeAsk(ask) }).length, () => {
+        this.relayMessage([from, ...path], wire.encodeFrame({ type: "request", id: 1_000, topic: "quota", body: quotaMessages.encodeAsk(ask) }).length, () => {
             const reply = owner.node.receiveAsk(ask);
-            this.pass([owner, ...[...path].reverse().slice(1), from], wire.encodeFrame({ type: "reply", id: 1_000, body: quotaMessages.encodeReply(reply) }).length, () => answer(reply));
+            this.relayMessage([owner, ...[...path].reverse().slice(1), from], wire.encodeFrame({ type: "reply", id: 1_000, body: quotaMessages.encodeReply(reply) }).length, () => answer(reply));
         });
     }
 
     /** Passes a message from the first instance to the last, unless it is lost on the way. */
-    private pass([from, to, ...rest]: readonly VirtualInstance[], bytes: number, task: () => void): void {
+    private relayMessage([from, to, ...rest]: readonly VirtualInstance[], bytes: number, task: () => void): void {
         if (to === undefined) {
             task();
             return;
@@ -337,6 +275,6 @@
         if (!this.isReachable(from!, to) || this.random.getFraction() < (this.options.lossRate ?? 0)) {
             return;
         }
-        this.schedule(to, 1 + 2 * this.random.getFraction(), () => this.pass([to, ...rest], bytes, task));
+        this.schedule(to, 1 + 2 * this.random.getFraction(), () => this.relayMessage([to, ...rest], bytes, task));
     }
 }
