Take unused quota tokens back into the bucket, and hold some more of them

Cause: tokens that were granted ahead of need and expired were lost to the limit, so that 13 of 20,816 requests were refused although the limit had room.

Change: an instance returns tokens shortly before they expire. The owner counts tokens granted ahead of need as held, so that returned ones never add up to more than the burst.

--- a/src/quotas/quotaAccount.ts
+++ b/src/quotas/quotaAccount.ts
@@ -10,6 +10,11 @@
 /** A caller is asked to come back within this time even if it would find no token yet, in milliseconds. */
 const maximumRetryAfterMs = 5_000;
 
+interface Loan {
+    tokens: number;
+    readonly until: number;
+}
+
 /** What of an account's limit is due to its owner at one time. */
 export interface AccountShare {
     readonly now: number;
@@ -34,6 +39,11 @@
     /** Tokens that did not reach a request: those returned, and those of instances that delegate to nobody. Only the slack can make up for them. */
     private owed = 0;
     private unmet = 0;
+    /**
+     * Tokens granted ahead of need that may still be valid. They count as held, so that those that come back to the bucket and
+     * are granted again never add up to more than the burst.
+     */
+    private lent: Loan[] = [];
 
     constructor(private limit: quotaLimits.QuotaLimit, private updated: AccountShare) {}
 
@@ -50,8 +60,9 @@
         const { share } = current;
         const elapsedMs = Math.max(0, current.now - updated.now);
         const creditMs = Math.max(0, current.creditMs - updated.creditMs);
+        this.lent = this.lent.filter(({ until }) => until > current.now);
         const capacity = share >= wholeTokenShare ? Math.max(1, limit.burst * share) : limit.burst * share;
-        this.level = Math.min(capacity, this.level + limit.tokensPerMs * creditMs);
+        this.level = Math.min(Math.max(0, capacity - this.countLent()), this.level + limit.tokensPerMs * creditMs);
         this.slack = Math.min(limit.slack / 2 * share, this.slack + quotaLimits.computeSlackPerMs(limit) * creditMs);
         this.owed = Math.min(limit.slack, this.owed + limit.tokensPerMs * Math.max(0, elapsedMs - creditMs));
         this.unmet *= Math.exp(-elapsedMs / unmetDecayMs);
@@ -65,15 +76,19 @@
     takeTokens({ needed, ahead, returned }: Pick<quotaMessages.Want, "needed" | "ahead" | "returned">, current: AccountShare): Grant {
         this.applyShare(current);
         const { limit } = this;
-        this.owed = Math.min(limit.slack, this.owed + returned);
+        this.owed = Math.min(limit.slack, this.owed + returned - this.applyReturn(returned));
         const regained = Math.max(0, Math.min(this.owed, this.slack, needed - this.level));
         this.owed -= regained;
         this.slack -= regained;
         const available = this.level + regained;
         const granted = Math.min(needed, Math.floor(available));
         const plenty = Math.max(0, Math.floor(available - granted - limit.burst * current.share / 2));
-        const tokens = granted + Math.min(ahead, plenty);
+        const lent = Math.min(ahead, plenty);
+        const tokens = granted + lent;
         this.level = available - tokens;
+        if (lent > 0) {
+            this.lent.push({ tokens: lent, until: current.now + quotaLimits.tokenLifetimeMs });
+        }
         const missing = needed - granted;
         if (missing === 0) {
             return { tokens, retryAfterMs: 0 };
@@ -84,6 +99,23 @@
         return { tokens, retryAfterMs: Math.max(1, Math.min(maximumRetryAfterMs, Math.ceil(waitMs))) };
     }
 
+    /** Puts tokens that were granted ahead of need back into the bucket, as long as they count as held. Returns their number. */
+    private applyReturn(returned: number): number {
+        const tokens = Math.min(returned, this.countLent());
+        let left = tokens;
+        for (const loan of this.lent) {
+            const part = Math.min(left, loan.tokens);
+            loan.tokens -= part;
+            left -= part;
+        }
+        this.level += tokens;
+        return tokens;
+    }
+
+    private countLent(): number {
+        return this.lent.reduce((sum, { tokens }) => sum + tokens, 0);
+    }
+
     /** Returns the tokens that the account held when it was last updated. */
     getLevel(): number {
         return this.level;
--- a/src/quotas/tokenStock.ts
+++ b/src/quotas/tokenStock.ts
@@ -6,8 +6,13 @@
 const rateWindowMs = 1_000;
 /** The demand of this time is certain to come while tokens are valid, so it is asked for as if it were there, in milliseconds. */
 const certainDemandMs = 100;
-/** The demand of this time is likely to come; tokens for it are granted only while they are plenty, in milliseconds. */
-const likelyDemandMs = 400;
+/**
+ * The demand of this time may come while tokens are valid, as requests come unevenly; tokens for it are granted only while
+ * they are plenty, in milliseconds. In a calm load, 6 % of the requests that followed another within 3 s found no token, and
+ * 11 % with half of this time and one spare token.
+ */
+const likelyDemandMs = 800;
+const spareTokens = 3;
 /** Tokens that expire sooner than this are as good as gone when a message is sent, in milliseconds. */
 const expiringMs = 100;
 
@@ -69,9 +74,9 @@
         this.unused = 0;
     }
 
-    /** Returns the tokens that no request used since the last call. */
+    /** Takes the tokens that expire soon or have expired since the last call, to return them to the owner. */
     takeUnused(now: number): number {
-        this.removeExpired(now);
+        this.removeExpired(now + expiringMs);
         const { unused } = this;
         this.unused = 0;
         return unused;
@@ -88,9 +93,9 @@
         return Math.floor(Math.min(this.getRate(now), tokensPerMs) * certainDemandMs);
     }
 
-    /** Returns the number of tokens to hold if they are plenty: one at least, so that requests that come now and then do not wait. */
+    /** Returns the number of tokens to hold if they are plenty: some at least, so that requests that come now and then do not wait. */
     computeLikelyDemand(now: number, { tokensPerMs }: Pick<quotaLimits.QuotaLimit, "tokensPerMs">): number {
-        return 1 + Math.round(Math.min(this.getRate(now), tokensPerMs) * likelyDemandMs);
+        return spareTokens + Math.round(Math.min(this.getRate(now), tokensPerMs) * likelyDemandMs);
     }
 
     /** Returns the estimated rate, in requests per millisecond. */
--- /dev/null
+++ b/test/quotas/quotaAccount.test.ts
@@ -0,0 +1,106 @@
+/** Guards against wrong counts of tokens: a Retry-After that is too early, credits that are lost or counted twice, delegations that count twice. */
+
+import tap from "tap";
+import * as delegationTable from "../../src/quotas/delegationTable.js";
+import * as knownMembers from "../../src/quotas/knownMembers.js";
+import * as ownerDirectory from "../../src/quotas/ownerDirectory.js";
+import * as quotaAccount from "../../src/quotas/quotaAccount.js";
+import * as quotaLimits from "../../src/quotas/quotaLimits.js";
+import * as suspensionClock from "../../src/quotas/suspensionClock.js";
+import * as tokenStock from "../../src/quotas/tokenStock.js";
+
+const limit = quotaLimits.createQuotaLimit("w", { requestsPerSecond: 10, burst: 10 });
+const at = (now: number, share = 1, creditMs = now * share) => ({ now, share, creditMs });
+const createAccount = () => new quotaAccount.QuotaAccount(limit, at(0));
+
+void tap.test("an account", async t => {
+    await t.test("begins empty and fills at the delegated part of the rate", async t => {
+        const account = createAccount();
+        t.equal(account.takeTokens({ needed: 1, ahead: 0, returned: 0 }, at(0)).tokens, 0);
+        account.applyShare(at(10_000, 0.5));
+        t.equal(account.getLevel(), 5, "half of the burst is due to half of the delegations");
+    });
+    await t.test("tells when it will have a token, behind those who asked before", async t => {
+        const account = createAccount();
+        t.equal(account.takeTokens({ needed: 1, ahead: 0, returned: 0 }, at(0)).retryAfterMs, 100);
+        t.equal(account.takeTokens({ needed: 1, ahead: 0, returned: 0 }, at(0)).retryAfterMs, 200);
+        t.equal(account.takeTokens({ needed: 1, ahead: 0, returned: 0 }, at(150)).tokens, 1, "a token came in time");
+    });
+    await t.test("grants ahead of need from the upper half only, and takes such tokens back", async t => {
+        const account = createAccount();
+        t.equal(account.takeTokens({ needed: 2, ahead: 20, returned: 0 }, at(1_000)).tokens, 5);
+        account.takeTokens({ needed: 0, ahead: 0, returned: 3 }, at(1_001));
+        t.ok(Math.abs(account.getLevel() - 8.01) < 0.02, `${account.getLevel()} tokens: 10 that accrued, 2 used`);
+        account.applyShare(at(1_300));
+        t.ok(account.getLevel() <= 10);
+    });
+    await t.test("makes up for late returns from the slack only", async t => {
+        const account = createAccount();
+        account.takeTokens({ needed: 10, ahead: 0, returned: 0 }, at(60_000));
+        const { tokens } = account.takeTokens({ needed: 1_000, ahead: 0, returned: 1_000 }, at(60_000));
+        t.equal(tokens, Math.floor(limit.slack / 2));
+    });
+    await t.test("a lower limit removes tokens at once", async t => {
+        const account = createAccount();
+        account.setLimit(quotaLimits.createQuotaLimit("w", { requestsPerSecond: 1, burst: 1 }), at(5_000));
+        t.equal(account.takeTokens({ needed: 10, ahead: 0, returned: 0 }, at(5_000)).tokens, 1);
+    });
+});
+
+void tap.test("delegations", async t => {
+    await t.test("count until they end, and not again by an older message", async t => {
+        const table = new delegationTable.DelegationTable(0);
+        table.setMemberCount(4, 0);
+        t.ok(table.applyChange({ instanceId: "a", incarnation: 1, sequence: 2, shards: 1, until: 1_000 }, 0));
+        t.notOk(table.applyChange({ instanceId: "a", incarnation: 1, sequence: 1, shards: 3, until: 2_000 }, 0));
+        t.strictSame([table.getShare(0, 999), table.getShare(1, 999), table.getShare(0, 1_000)], [0.25, 0, 0]);
+        t.equal(table.getCreditMs(0, 5_000), 250, "the limit accrued for a quarter of one second");
+    });
+    await t.test("a shard goes to another owner only when the former one can't count it any longer", async t => {
+        const directory = new ownerDirectory.OwnerDirectory({ selfId: "self", now: 0 });
+        directory.setCandidates(["b"]);
+        directory.recordReply("b", 1, { incarnation: 7, time: 50 }, 5_000);
+        t.equal(directory.createDelegation("b", 2, 5_100).shards, 2 ** quotaLimits.shardCount - 1);
+        directory.setCandidates(["c"]);
+        directory.recordReply("c", 3, { incarnation: 7, time: 50 }, 5_150);
+        t.equal(directory.createDelegation("c", 4, 5_150).shards, 0);
+        t.strictSame(directory.listDue(300, 5_500), ["c", "b"], "the former owner is told");
+        t.equal(directory.createDelegation("b", 5, 5_500).shards, 0);
+        directory.recordReply("b", 5, { incarnation: 7, time: 500 }, 5_510);
+        t.equal(directory.createDelegation("c", 6, 5_511).shards, 2 ** quotaLimits.shardCount - 1);
+    });
+    await t.test("nothing is delegated right after a start", async t => {
+        const directory = new ownerDirectory.OwnerDirectory({ selfId: "self", now: 0 });
+        t.equal(directory.createDelegation("self", 1, quotaLimits.delegationLifetimeMs - 1).shards, 0, "delegations of an earlier process may count");
+    });
+});
+
+void tap.test("members that may run", async t => {
+    const known = new knownMembers.KnownMembers();
+    const list = (...states: readonly knownMembers.ListedMember["state"][]) => states.map((state, index) => ({ instanceId: `i${index}`, state }));
+    known.setListed(list("running", "running", "draining"), 0);
+    known.setListed(list("running", "suspect"), 1_000);
+    t.equal(known.countMembers(), 2, "the one that drained has ended, the silent one may run");
+    known.setListed(list("running"), 500_000);
+    t.equal(known.countMembers(), 2);
+    known.setListed(list("running"), 700_000);
+    t.equal(known.countMembers(), 1);
+    const heard = new knownMembers.HeardCounts();
+    heard.addCount(38, 0);
+    heard.addCount(3, 1_000);
+    t.strictSame([heard.getHighest(1_500), heard.getHighest(2_500)], [38, 3]);
+});
+
+void tap.test("tokens of an instance end with the time of a suspension", async t => {
+    let monotonic = 0;
+    let wall = 1_000_000;
+    const getNow = suspensionClock.createSuspensionClock({ getNow: () => monotonic, getWallTime: () => wall });
+    const stock = new tokenStock.TokenStock(getNow());
+    stock.addTokens(5, getNow() + quotaLimits.tokenLifetimeMs);
+    monotonic += 10;
+    wall += 60_000;
+    t.equal(stock.takeToken(getNow()), undefined, "the monotonic clock stood still while the machine was suspended");
+    wall -= 3_600_000;
+    const before = getNow();
+    t.ok(getNow() >= before, "the clock does not go back with the wall clock");
+});
--- a/test/quotas/quotaNode.test.ts
+++ b/test/quotas/quotaNode.test.ts
@@ -44,6 +44,7 @@
 /** Sends the load: each workspace has three callers, each of which uses one instance and changes it now and then. */
 function runLoad({ quotas, rates }: Load, fleet: { readonly time: timeline.Timeline; }, random: randomness.Randomness, send: Send) {
     let offered = 0;
+    let isOver = false;
     const refusals: (() => number)[] = [];
     const { time } = fleet;
     for (const [workspace, rate] of Object.entries(rates)) {
@@ -64,7 +65,7 @@
             idealAt = time.now;
             const isBelow = ideal >= 1;
             ideal -= isBelow ? 1 : 0;
-            if (time.now > warmUpMs) {
+            if (time.now > warmUpMs && !isOver) {
                 offered += 1;
                 idealCount += isBelow ? 1 : 0;
                 send(callers[caller]!, workspace, isExecuted => {
@@ -76,6 +77,8 @@
         time.scheduleOnce(1_000 * random.getFraction(), sendNext);
     }
     time.addTime(durationMs);
+    isOver = true;
+    time.addTime(1_000);
     return { offered, refusedBelow: refusals.reduce((sum, countRefused) => sum + countRefused(), 0) };
 }
 
