--- a/test/quotas/quotaNode.test.ts
+++ b/test/quotas/quotaNode.test.ts
@@ -18,6 +18,9 @@
 const publishIntervalMs = 250;
 const publishDelayMs = 60;
 const demandLifetimeMs = 2_000;
+const demandWindowMs = 1_000;
+/** What no instance demands is shared in proportion to the demand, except this part of it, which all have alike. */
+const equalSpareShare = 0.2;
 
 type Demand = "calm" | "usual" | "surges";
 type Send = (index: number, workspace: string, listener: (isExecuted: boolean) => void) => void;
@@ -121,11 +124,17 @@
     let isCut = false;
     const nodes = Array.from({ length: instanceCount }, () => ({
         counts: new Map<string, number>(),
+        smoothed: new Map<string, number>(),
         published: new Map<number, { readonly rates: ReadonlyMap<string, number>; readonly at: number; }>(),
         buckets: new Map<string, { level: number; at: number; }>(),
     }));
     const publish = (index: number) => {
-        const rates = new Map([...nodes[index]!.counts].map(([workspace, count]) => [workspace, count / publishIntervalMs]));
+        const { counts, smoothed } = nodes[index]!;
+        const weight = 1 - Math.exp(-publishIntervalMs / demandWindowMs);
+        for (const workspace of new Set([...counts.keys(), ...smoothed.keys()])) {
+            smoothed.set(workspace, (smoothed.get(workspace) ?? 0) * (1 - weight) + (counts.get(workspace) ?? 0) / publishIntervalMs * weight);
+        }
+        const rates = new Map(smoothed);
         nodes.forEach((node, other) => {
             if (other === index || !isCut || (other < 13) === (index < 13)) {
                 time.scheduleOnce(other === index ? 1 : publishDelayMs * (0.5 + random.getFraction()), () => node.published.set(index, { rates, at: time.now }));
@@ -143,8 +152,9 @@
             const fair = left / (demands.length - position);
             const part = Math.min(rate, fair);
             if (other === index) {
-                const spare = Math.max(0, limitPerMs - demands.reduce((sum, entry) => sum + entry.rate, 0)) / instanceCount;
-                return part + spare;
+                const total = demands.reduce((sum, entry) => sum + entry.rate, 0);
+                const spare = Math.max(0, limitPerMs - total);
+                return part + spare * (equalSpareShare / instanceCount + (1 - equalSpareShare) * (total === 0 ? 1 / instanceCount : rate / total));
             }
             left -= part;
         }
