Send a second request for slow reads where the operator allows it

Cause: 3 % of the responses take seven times as long because of the upstream at that moment; a retry replaces an attempt only when it is overdue, at six times the median.

It stops while the service is busy or sheds and where hedges do not win. The first usable response counts; the other attempt is closed and released as superseded, which is a lower bound of its latency and no failure.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -22,6 +22,7 @@
     readonly slotAllocator: types.SlotAllocator;
     readonly chooseUpstream: types.ChooseUpstream;
     readonly formatUpstreamSummary: types.FormatUpstreamSummary;
+    readonly getUpstreamLoad: types.GetUpstreamLoad;
 }
 
 /** Keeps one scheduler per configured service and routes slot requests to it. */
@@ -63,6 +64,17 @@
         return serviceScheduler?.acquireSlot(request) ?? Promise.resolve(err(errors.createError("overloaded", `the service ${request.service} is no longer configured`)));
     }
 
+    /** Acquires a slot that is free now, without queueing; undefined if there is none, or if other requests wait. */
+    acquireFreeSlot(request: types.SlotRequest): types.Slot | undefined {
+        const isKeyWithdrawn = workspaces.getWithdrawnKeyError(this.options.configuration.getCurrent(), request) !== undefined;
+        return isKeyWithdrawn ? undefined : this.schedulers.get(request.service)?.acquireFreeSlot(request);
+    }
+
+    /** Returns the share of a service's slots that are in use, from 0 to 1; 1 if it has none. */
+    getUtilization(service: string): number {
+        return this.schedulers.get(service)?.getUtilization() ?? 1;
+    }
+
     /** Rejects every queued request; those that hold a slot go on. */
     rejectAllQueued(error: errors.FleetError): void {
         this.schedulers.forEach(serviceScheduler => serviceScheduler.rejectQueued(() => error));
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -37,7 +37,8 @@
         const health = context.services.findService(upstreamHealth.upstreamHealthKey);
         const chooseUpstream: types.ChooseUpstream = health === undefined ? chooseByLoad : (request, upstreams, now, queuedMs) => health.chooseUpstream({ ...request, upstreams, now, queuedMs });
         const formatUpstreamSummary: types.FormatUpstreamSummary = (upstream, now) => health?.formatHealth(upstream, now) ?? `${upstream.getInFlight()}/${upstream.getConcurrencyLimit()} busy`;
-        const created: admission.Admission = new admission.Admission({ context, pool: upstreamPool, configuration: configurations, slotAllocator, chooseUpstream, formatUpstreamSummary });
+        const getUpstreamLoad: types.GetUpstreamLoad = upstream => health?.getLoad(upstream) ?? { inFlight: upstream.getInFlight(), limit: upstream.getConcurrencyLimit() };
+        const created: admission.Admission = new admission.Admission({ context, pool: upstreamPool, configuration: configurations, slotAllocator, chooseUpstream, formatUpstreamSummary, getUpstreamLoad });
         context.services.setService(admission.admissionKey, created);
         return { start: async () => slotAllocator.start(), getDump: () => ({ queues: created.getDump(), parts: slotAllocator.getDump() }) };
     },
--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -32,6 +32,7 @@
     readonly slotAllocator: types.SlotAllocator;
     readonly chooseUpstream: types.ChooseUpstream;
     readonly formatUpstreamSummary: types.FormatUpstreamSummary;
+    readonly getUpstreamLoad: types.GetUpstreamLoad;
     /** Records the queue time of a request that got a slot. */
     readonly recordQueueTime?: (rank: string, queuedMs: number) => void;
 }
@@ -97,6 +98,25 @@
         });
     }
 
+    /** Acquires a slot at an upstream that has a free one now; undefined if there is none, or if requests are queued. */
+    acquireFreeSlot(request: types.SlotRequest): types.Slot | undefined {
+        const now = this.options.context.clock.getNow();
+        const isWithinAllocation = this.options.slotAllocator.isWithinAllocation(this.options.service, request.rankIndex, this.rankUsage.getInFlight(request.rankIndex), now);
+        if (!isWithinAllocation || this.queues.some(queue => queue.length > 0)) {
+            return undefined;
+        }
+        const free = this.listRoutableUpstreams(now).filter(({ upstream, load }) => load.inFlight < load.limit && !upstream.isAvoided(now)).map(({ upstream }) => upstream);
+        const chosen = this.options.chooseUpstream(request, free, now, 0);
+        return chosen === undefined ? undefined : this.createSlot(request, chosen, { now, queuedMs: 0 });
+    }
+
+    /** Returns the share of the slots of routable upstreams that are in use, from 0 to 1; 1 if there are none. */
+    getUtilization(): number {
+        const loads = this.listRoutableUpstreams(this.options.context.clock.getNow()).map(({ load }) => load);
+        const slots = loads.reduce((sum, { limit }) => sum + limit, 0);
+        return slots === 0 ? 1 : loads.reduce((sum, { inFlight, limit }) => sum + Math.min(inFlight, limit), 0) / slots;
+    }
+
     /** Starts queued requests until no further request can get a slot. */
     dispatch(): void {
         while (this.dispatchNext()) {
@@ -177,30 +197,39 @@
         return false;
     }
 
+    private listRoutableUpstreams(now: number): readonly { readonly upstream: pool.Upstream; readonly load: types.UpstreamLoad; }[] {
+        const upstreams = this.options.pool.getServicePool(this.options.service)?.upstreams ?? [];
+        return upstreams.filter(upstream => (upstream.routability.kind === "routable" || upstream.routability.kind === "recovering") && !upstream.isLeaving(now) && !upstream.isPaused(now)).map(upstream => ({
+            upstream,
+            load: this.options.getUpstreamLoad(upstream),
+        }));
+    }
+
     private startRequest(queued: QueuedRequest, upstream: pool.Upstream, now: number): void {
-        const { request } = queued;
+        const queuedMs = now - queued.queuedAt;
+        this.options.recordQueueTime?.(this.options.ranks[queued.request.rankIndex]!.name, queuedMs);
+        this.resolveRequest(queued, ok(this.createSlot(queued.request, upstream, { now, queuedMs })));
+    }
+
+    private createSlot(request: types.SlotRequest, upstream: pool.Upstream, { now, queuedMs }: { readonly now: number; readonly queuedMs: number; }): types.Slot {
         const upstreamSummary = this.options.formatUpstreamSummary(upstream, now);
         const attempt = this.options.pool.startAttempt(upstream, request.route, request.rankIndex);
         this.rankUsage.addInFlight(request.rankIndex, now);
-        this.options.recordQueueTime?.(this.options.ranks[request.rankIndex]!.name, now - queued.queuedAt);
         let isReleased = false;
-        this.resolveRequest(
-            queued,
-            ok({
-                upstream,
-                attempt,
-                queuedMs: now - queued.queuedAt,
-                upstreamSummary,
-                release: outcome => {
-                    if (isReleased) {
-                        return;
-                    }
-                    isReleased = true;
-                    this.rankUsage.removeInFlight(request.rankIndex, this.options.context.clock.getNow());
-                    this.options.pool.finishAttempt(upstream, attempt, outcome);
-                },
-            }),
-        );
+        return {
+            upstream,
+            attempt,
+            queuedMs,
+            upstreamSummary,
+            release: outcome => {
+                if (isReleased) {
+                    return;
+                }
+                isReleased = true;
+                this.rankUsage.removeInFlight(request.rankIndex, this.options.context.clock.getNow());
+                this.options.pool.finishAttempt(upstream, attempt, outcome);
+            },
+        };
     }
 
     /** Rejects requests at the head of the queue that can no longer be answered before their deadline, to save slots for others. */
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -56,6 +56,15 @@
 /** Chooses the upstream for a queued request; returns undefined if the request must keep waiting. */
 export type ChooseUpstream = (request: SlotRequest, upstreams: readonly pool.Upstream[], now: number, queuedMs: number) => pool.Upstream | undefined;
 
+/** The requests that an upstream executes, as far as this instance knows, and how many it can execute at once. */
+export interface UpstreamLoad {
+    readonly inFlight: number;
+    readonly limit: number;
+}
+
+/** Returns the load of an upstream. */
+export type GetUpstreamLoad = (upstream: pool.Upstream) => UpstreamLoad;
+
 /** Formats the load of an upstream, with its health estimate if there is one, for the log line of a request that is sent there. */
 export type FormatUpstreamSummary = (upstream: pool.Upstream, now: number) => string;
 
--- a/src/cli/explainCommand.ts
+++ b/src/cli/explainCommand.ts
@@ -84,9 +84,10 @@
     }
 }
 
-function formatLogLine({ time, message, context: { event, instance, trail, ...values } }: LogLine): string {
+/** Formats a line for the operator, with a line of its own for each attempt and for a hedge that was sent or denied. */
+export function formatLogLine({ time, message, context: { event, instance, trail, ...values } }: LogLine): string {
     const hiddenFields = new Set(["application", "failureDomain", "logLevel", "requestIds"]);
     const fields = Object.entries(values).filter(([name, value]) => !hiddenFields.has(name) && value !== undefined).map(([name, value]) => `${name}=${String(value)}`);
-    const attempts = trail === undefined || trail === "" ? [] : trail.split("] [").map(attempt => `\n    attempt: ${attempt.replace(/^\[|\]$/g, "")}`);
+    const attempts = trail === undefined || trail === "" ? [] : trail.split("] [").map(entry => entry.replace(/^\[|\]$/g, "")).map(entry => entry.startsWith("hedge ") ? `\n    ${entry}` : `\n    attempt: ${entry}`);
     return `${new Date(time).toISOString()} ${instance} ${event}: ${message} ${fields.join(" ")}${attempts.join("")}`;
 }
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -90,6 +90,11 @@
     targetLatencyMs: millisecondsSchema.optional(),
     /** Maximum number of upstreams that one request is sent to. */
     maximumAttempts: z.number().int().min(1).max(10).default(3),
+    /** Second requests that are sent while the first one takes unusually long; the instance's setting applies if omitted. They are never sent for requests that are not repeatable. */
+    hedging: z.strictObject({
+        /** The largest share of the route's requests for which a second one is sent, from 0 to 1. */
+        maximumShare: z.number().min(0).max(1).default(0),
+    }).optional(),
 });
 
 /** A priority class of requests; the document lists the most urgent first. */
--- a/src/detection/attemptStatistics.ts
+++ b/src/detection/attemptStatistics.ts
@@ -94,7 +94,7 @@
         // A shed request indicates load, not failure. A cancellation or an expired deadline counts only if the attempt was already overdue.
         const isInconclusive = (outcome === "cancelled" || outcome === "timedOut") && !isOverdue;
         const isCausedByLocalLag = isOverdue && now < this.laggingUntil;
-        if (outcome === "shed" || isInconclusive || isCausedByLocalLag) {
+        if (outcome === "shed" || outcome === "superseded" || isInconclusive || isCausedByLocalLag) {
             return;
         }
         const history = this.getHistory(upstream);
--- a/src/pool/pool.ts
+++ b/src/pool/pool.ts
@@ -146,6 +146,9 @@
         if (outcome === "answered") {
             this.latencies.recordAttempt(upstream.service, attempt);
         }
+        if (outcome === "superseded") {
+            this.latencies.recordLowerBound(upstream.service, attempt, now);
+        }
         this.observers.forEach(observer => observer.onEnd(upstream, attempt, outcome, now));
         this.notifyChangeListeners();
     }
--- a/src/pool/routeLatencies.ts
+++ b/src/pool/routeLatencies.ts
@@ -57,13 +57,24 @@
 
     /** Adds the latency of an answered attempt; ignores attempts without response headers. */
     recordAttempt(service: string, attempt: types.AttemptRecord): void {
-        if (attempt.respondedAt === undefined) {
-            return;
+        if (attempt.respondedAt !== undefined) {
+            this.addSample(service, attempt.route, attempt.respondedAt - attempt.startedAt);
         }
-        const key = createHistogramKey(service, attempt.route);
+    }
+
+    /**
+     * Adds the time that an attempt took until it was given up, which is less than its latency. Without it, quantiles would
+     * fall each time that slow attempts are given up, and more of them would be.
+     */
+    recordLowerBound(service: string, attempt: types.AttemptRecord, now: number): void {
+        this.addSample(service, attempt.route, (attempt.respondedAt ?? now) - attempt.startedAt);
+    }
+
+    private addSample(service: string, route: string, latencyMs: number): void {
+        const key = createHistogramKey(service, route);
         const histogram = this.histograms.get(key) ?? new LatencyHistogram();
         this.histograms.set(key, histogram);
-        histogram.addSample(attempt.respondedAt - attempt.startedAt);
+        histogram.addSample(latencyMs);
     }
 
     /**
--- a/src/pool/types.ts
+++ b/src/pool/types.ts
@@ -12,8 +12,10 @@
     | "unreachable"
     /** The upstream did not answer within the timeout. */
     | "timedOut"
-    /** The caller disconnected, or another attempt answered first. */
-    | "cancelled";
+    /** The caller disconnected, or the request was not sent. */
+    | "cancelled"
+    /** Another attempt of the request was answered before. */
+    | "superseded";
 
 /** Whether an upstream may receive requests. One instance per service decides ejections and trials for the fleet. */
 export type Routability =
--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -12,6 +12,7 @@
 import type * as connectionReuse from "./connectionReuse.js";
 import * as drainAdmission from "./drainAdmission.js";
 import * as headers from "./headers.js";
+import * as hedging from "./hedging.js";
 import * as retryBudget from "./retryBudget.js";
 import type * as types from "./types.js";
 import type * as upstreamAgent from "./upstreamAgent.js";
@@ -50,6 +51,8 @@
     private readonly startedAt: number;
     private readonly metrics: attemptMetrics.AttemptMetrics;
     private readonly upstreamBytes: upstreamBytes.UpstreamBytes;
+    /** The state of second requests that are sent before the first one is answered. */
+    readonly hedging: hedging.Hedging;
     /** The times of the graceful shutdown; undefined before one begins. */
     private shutdownTimes: drainAdmission.ShutdownTimes | undefined;
 
@@ -59,6 +62,7 @@
             getRemainingRetries: () => new Map([...this.budgets].map(([service, budget]) => [service, budget.getRemainingRetries()])),
         });
         this.upstreamBytes = new upstreamBytes.UpstreamBytes({ registry: options.context.metrics, failureDomain: options.context.identity.failureDomain });
+        this.hedging = new hedging.Hedging(options.context, options.pool.latencies);
         this.startedAt = options.context.clock.getNow();
     }
 
@@ -79,6 +83,7 @@
         request.progress.setWait(result.kind === "answered" ? { kind: "upstreamBody", attempt: current } : { kind: "retry" });
         const ageMs = Math.round(this.context.clock.getNow() - slot.attempt.startedAt);
         this.metrics.recordAttempt(request.route.service, result);
+        this.hedging.recordAttempt(request.route.service, slot.queuedMs, result.kind === "shed");
         request.trail.push(`[${slot.upstream.getId()} (${slot.upstreamSummary}) queued ${Math.round(slot.queuedMs)} ms, after ${ageMs} ms ${formatResult(result)}]`);
         return result;
     }
@@ -199,7 +204,32 @@
         if (untried.length === 0) {
             excludedUpstreamIds.clear();
         }
-        const slot = await this.options.admission.acquireSlot({
+        const slot = await this.options.admission.acquireSlot(this.createSlotRequest(request, excludedUpstreamIds, progress));
+        const drainError = slot.isOk() && !progress.mayHaveRun ? this.getDrainError(request) : undefined;
+        if (slot.isOk() && drainError !== undefined) {
+            slot.value.release("cancelled");
+            return err(drainError);
+        }
+        return slot;
+    }
+
+    /**
+     * Acquires a slot for a hedge at an upstream that has a free one now; undefined if there is none.
+     * @param excludedUpstreamIds - Identifiers of the upstreams that were already tried.
+     */
+    acquireFreeSlot(request: types.RoutedRequest, excludedUpstreamIds: ReadonlySet<string>): admission.Slot | undefined {
+        // A hedge is not for exploration, which sends requests to upstreams of unknown health.
+        return this.options.admission.acquireFreeSlot({ ...this.createSlotRequest(request, excludedUpstreamIds, { isRetry: true, canRetry: false, mayHaveRun: true }), isRepeatable: false });
+    }
+
+    /** Returns the share of a service's slots that are in use, from 0 to 1. */
+    getUtilization(service: string): number {
+        return this.options.admission.getUtilization(service);
+    }
+
+    private createSlotRequest(request: types.RoutedRequest, excludedUpstreamIds: ReadonlySet<string>, progress: Pick<admission.SlotRequest, "isRetry" | "canRetry" | "mayHaveRun">): admission.SlotRequest {
+        const { route } = request;
+        return {
             service: route.service,
             route: route.name,
             rankIndex: route.rankIndex,
@@ -214,13 +244,7 @@
             signal: request.signal,
             getAbortError: () => errors.createError("callerGone"),
             getMedianLatencyMs: () => this.latencies.getQuantile(route.service, route.name, 0.5),
-        });
-        const drainError = slot.isOk() && !progress.mayHaveRun ? this.getDrainError(request) : undefined;
-        if (slot.isOk() && drainError !== undefined) {
-            slot.value.release("cancelled");
-            return err(drainError);
-        }
-        return slot;
+        };
     }
 
     /**
--- a/src/requests/runWithRetries.ts
+++ b/src/requests/runWithRetries.ts
@@ -7,6 +7,7 @@
 import * as pool from "../pool/index.js";
 import type * as executorContext from "./executorContext.js";
 import * as headers from "./headers.js";
+import * as hedgedAttempt from "./hedgedAttempt.js";
 import * as rangeResume from "./rangeResume.js";
 import * as relayBody from "./relayBody.js";
 import type * as types from "./types.js";
@@ -89,29 +90,23 @@
             return { kind: "error", error: createUnansweredError(errors.createError("deadlineBeforeSend"), progress.sentAttempts) };
         }
         progress.attempts += 1;
-        const upstream = slot.value.upstream;
         const definition = executor.getServiceDefinition(service);
         if (definition === undefined) {
             slot.value.release("cancelled");
             return { kind: "error", error: createUnansweredError(errors.createError("overloaded", `the service ${service} is no longer configured`), progress.sentAttempts) };
         }
-        const result = await executor.sendAttempt({
-            context: executor.context,
-            slot: slot.value,
-            service: definition,
-            request,
-            agent: executor.agent,
-            signal: request.signal,
-            extraHeaders,
-            getWaitMs: ageMs => getWaitMs(executor, request, progress, upstream, ageMs),
+        const { slot: endedSlot, result } = await hedgedAttempt.sendAttempt(executor, {
+            attempt: { context: executor.context, slot: slot.value, service: definition, request, agent: executor.agent, signal: request.signal, extraHeaders },
+            progress,
+            getWaitMs: (upstream, ageMs) => getWaitMs(executor, request, progress, upstream, ageMs),
         });
         const next = await match(result)
-            .with({ kind: "answered" }, ({ response }): OpenResult | "retry" => handleResponse(executor, request, progress, slot.value, response))
-            .with({ kind: "shed" }, { kind: "unreachable" }, notExecuted => retryNotExecuted(executor, request, progress, slot.value, notExecuted))
-            .with({ kind: "lost" }, ({ reason }) => retrySent(executor, request, progress, slot.value, "failed", errors.createError("answerLost", `the response was lost: ${reason}`)))
-            .with({ kind: "timedOut" }, () => retryTimedOut(executor, request, progress, slot.value))
+            .with({ kind: "answered" }, ({ response }): OpenResult | "retry" => handleResponse(executor, request, progress, endedSlot, response))
+            .with({ kind: "shed" }, { kind: "unreachable" }, notExecuted => retryNotExecuted(executor, request, progress, endedSlot, notExecuted))
+            .with({ kind: "lost" }, ({ reason }) => retrySent(executor, request, progress, endedSlot, "failed", errors.createError("answerLost", `the response was lost: ${reason}`)))
+            .with({ kind: "timedOut" }, () => retryTimedOut(executor, request, progress, endedSlot))
             .with({ kind: "cancelled" }, ({ wasSent }): OpenResult => {
-                slot.value.release("cancelled");
+                endedSlot.release("cancelled");
                 return { kind: "error", error: createUnansweredError(errors.createError("callerGone"), progress.sentAttempts + (wasSent ? 1 : 0)) };
             })
             .exhaustive();
--- a/src/settings/serveSettings.ts
+++ b/src/settings/serveSettings.ts
@@ -78,6 +78,9 @@
     queueLength: createIntegerSchema(1, 1_000_000, 1_000).describe("The most queued requests for a service and rank."),
     retryRatio: createDecimalSchema(1_000, 0.1).describe("The repeats that the whole fleet may send a service, as a part of its requests; fractions and 0 are allowed."),
     retrySlack: createDecimalSchema(1_000_000_000, 300).describe("The repeats that the whole fleet may send a service in a window beside that part; fractions and 0 are allowed."),
+    hedgeRatio: createDecimalSchema(1, 0).describe(
+        "The largest part of a route's requests for which a second request may be sent while the first one takes unusually long; for routes that say nothing about hedging. 0 turns hedging off for them.",
+    ),
     retryWindowS: createDecimalSchema(86_400, 10).describe("The window in which repeats are counted, in seconds; fractions are allowed, and less than 0.1 counts as 0.1."),
     drainTimeoutMs: createIntegerSchema(0, 86_400_000, 900_000).describe("The longest graceful shutdown, in milliseconds; what is then in flight is cut."),
     killAfterS: createDecimalSchema(86_400, 0).describe(
--- a/src/upstreamHealth/failureShare.ts
+++ b/src/upstreamHealth/failureShare.ts
@@ -21,10 +21,10 @@
     /**
      * Records the end of an attempt.
      * @remarks An attempt whose caller left counts as failed: slow upstreams often end that way. One that was shed was not
-     * executed and says nothing about the health of the service's upstreams.
+     * executed, and one that was superseded was given up here; neither says anything about the health of the service's upstreams.
      */
     recordAttempt(service: string, outcome: pool.AttemptOutcome, now: number): void {
-        if (outcome === "shed") {
+        if (outcome === "shed" || outcome === "superseded") {
             return;
         }
         const counts = this.getDecayedCounts(service, now);
--- a/src/upstreamHealth/upstreamHealth.ts
+++ b/src/upstreamHealth/upstreamHealth.ts
@@ -115,6 +115,11 @@
         });
     }
 
+    /** Returns the requests of the whole fleet at an upstream, and its slots. */
+    getLoad(upstream: pool.Upstream): { readonly inFlight: number; readonly limit: number; } {
+        return { inFlight: this.table.getFleetInFlight(upstream), limit: upstream.getSlots() };
+    }
+
     /**
      * Formats the health and load of an upstream for logs.
      * @param now - The time, in monotonic milliseconds.
--- a/test/cli/explainCommand.test.ts
+++ b/test/cli/explainCommand.test.ts
@@ -35,3 +35,11 @@
     testTimeline("r", 0, []);
     testTimeline("nobody", 0, []);
 });
+
+// Guards against a hedge that is shown as an attempt of its own, and against attempts that are run together.
+void tap.test("the attempts of a line", async t => {
+    const trail = "[w1 (0/3 busy) queued 0 ms, after 90 ms answered 200] [hedge to w1: won] [w2 (1/3 busy) queued 0 ms, after 150 ms cancelled]";
+    const line = { time: 0, message: "answered", context: { event: "request-answered", instance: "i1", trail } };
+    t.strictSame(explainCommand.formatLogLine(line).split("\n").slice(1), ["    attempt: w1 (0/3 busy) queued 0 ms, after 90 ms answered 200", "    hedge to w1: won", "    attempt: w2 (1/3 busy) queued 0 ms, after 150 ms cancelled"]);
+    t.match(explainCommand.formatLogLine({ ...line, context: { ...line.context, trail: "[hedge not sent: share] [w1 (0/3 busy) queued 0 ms, after 900 ms answered 200]" } }), /\n {4}hedge not sent: share\n/);
+});
