Complete the document of a test of configuration changes

Cause: the test's document lacks workspaces, which every checked document has since they are part of the schema, so dividing it into chunks threw.

--- a/test/configuration/changeWriter.test.ts
+++ b/test/configuration/changeWriter.test.ts
@@ -40,7 +40,7 @@
             },
         };
         const writer = new changeWriter.ChangeWriter({ store: fake as unknown as store.StoreService, getActiveVersion: () => active.version, getActiveHead: () => active });
-        const document = { ranks: [], services: {}, routes: [], retiredFeatures: [], callerHeaders: {}, limits: {} } as unknown as schema.ConfigurationDocument;
+        const document = { ranks: [], services: {}, routes: [], retiredFeatures: [], callerHeaders: {}, workspaces: {}, limits: {} } as unknown as schema.ConfigurationDocument;
         const result = await writer.writeChange({ changeId: "new", document, baseVersion: active.version });
         const stored = changeWriter.parseHead(current.value)._unsafeUnwrap();
         return { accepted: result.map(({ head }) => head.version).unwrapOr(undefined), stored: `${stored.version} ${stored.changeId}` };
