--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -47,6 +47,7 @@
         });
         health?.setSheddingCheck(service => shedding.isShedding(service));
         const formatUpstreamSummary: types.FormatUpstreamSummary = (upstream, now) => health?.formatHealth(upstream, now) ?? `${upstream.getInFlight()}/${upstream.getConcurrencyLimit()} busy`;
+        const getUpstreamLoad: types.GetUpstreamLoad = upstream => health?.getLoad(upstream) ?? { inFlight: upstream.getInFlight(), limit: upstream.getConcurrencyLimit() };
         const created: admission.Admission = new admission.Admission({
             context,
             pool: upstreamPool,
@@ -54,6 +55,7 @@
             slotAllocator,
             chooseUpstream: shedding.chooseUpstream(chooseUpstream),
             formatUpstreamSummary,
+            getUpstreamLoad,
             shedControl: shedding,
         });
         context.services.setService(admission.admissionKey, created);
--- a/src/admission/shedControl.ts
+++ b/src/admission/shedControl.ts
@@ -46,7 +46,7 @@
                     .with("shed", () => true)
                     .with("answered", "failed", "timedOut", () => false)
                     // Nothing was accepted or refused, or nobody waited to learn which.
-                    .with("unreachable", "cancelled", () => undefined)
+                    .with("unreachable", "cancelled", "superseded", () => undefined)
                     .exhaustive();
                 const control = this.services.get(upstream.service);
                 if (isShed !== undefined && control !== undefined) {
