Count sheds of a shedding service against their upstreams, without avoiding those besides

Change: shedDetector.ts takes the place of shedAvoidance.ts and only finds out whether a service sheds. Its setting for a single shed attempt is a fifth of the upstreams suspected (0.3 recently failed before). Refusals of a full queue and of requests whose turn comes too late carry a Retry-After that is computed from the queue's progress and spread over twice that time.

--- a/src/admission/fairQueue.ts
+++ b/src/admission/fairQueue.ts
@@ -138,6 +138,9 @@
 
     /** Lists the next items to be served. Takes time in proportion to the workspaces with queued items. */
     listNext(limit: number): readonly T[] {
+        if (this.nodes.size === 0) {
+            return [];
+        }
         const flows = this.listFirstFlows(limit);
         const candidates = flows.flatMap(flow => {
             let tag = flow.tag;
--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -40,10 +40,7 @@
         const shedding = new shedControl.ShedControl({
             context,
             pool: upstreamPool,
-            getUpstreamKnowledge: (upstream, now) => {
-                const estimate = health?.table.getEstimate(upstream);
-                return estimate === undefined ? undefined : { failureProbability: estimate.getFailureProbability(now), lastFailureAt: estimate.getLastFailureAt() };
-            },
+            getFailureProbability: (upstream, now) => health?.table.getEstimate(upstream).getFailureProbability(now),
         });
         health?.setSheddingCheck(service => shedding.isShedding(service));
         const formatUpstreamSummary: types.FormatUpstreamSummary = (upstream, now) => health?.formatHealth(upstream, now) ?? `${upstream.getInFlight()}/${upstream.getConcurrencyLimit()} busy`;
@@ -52,7 +49,7 @@
             pool: upstreamPool,
             configuration: configurations,
             slotAllocator,
-            chooseUpstream: shedding.chooseUpstream(chooseUpstream),
+            chooseUpstream,
             formatUpstreamSummary,
             shedControl: shedding,
         });
--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -87,8 +87,10 @@
         const { requests, forecast } = this.queues[request.rankIndex]!;
         const { queueLength } = this.options.context.settings;
         if (requests.getSize() >= queueLength) {
-            const refused = queuedRequest.chooseRefused(requests, queued, forecast.getIntervalMs(now) ?? queued.cost);
-            this.rejectWithReason(refused, "queueFull", errors.createError("overloaded", `the queue of the request's rank is full with ${requests.getSize()} requests`));
+            const intervalMs = forecast.getIntervalMs(now);
+            const refused = queuedRequest.chooseRefused(requests, queued, intervalMs ?? queued.cost);
+            const roomInMs = intervalMs === undefined || refused.workspace === "" ? undefined : requests.countServedUpTo(refused.workspace) * intervalMs;
+            this.rejectWithReason(refused, "queueFull", this.createRetryLaterError(errors.createError("overloaded", `the queue of the request's rank is full with ${requests.getSize()} requests`), roomInMs));
             if (refused === queued) {
                 return false;
             }
@@ -106,14 +108,19 @@
             return true;
         }
         const waitMs = requests.countServedUpTo(workspace) * intervalMs;
-        const retryAfterMs = queuedRequest.computeExpectedDelayMs(queued, waitMs);
-        if (retryAfterMs === undefined) {
+        const delayMs = queuedRequest.computeExpectedDelayMs(queued, waitMs);
+        if (delayMs === undefined) {
             return true;
         }
-        this.rejectWithReason(queued, "late", { ...errors.createError("deadlineBeforeSend", `the request's turn is expected in ${Math.round(waitMs)} ms, which is too late for its deadline`), retryAfterMs: Math.round(retryAfterMs) });
+        this.rejectWithReason(queued, "late", this.createRetryLaterError(errors.createError("deadlineBeforeSend", `the request's turn is expected in ${Math.round(waitMs)} ms, which is too late for its deadline`), delayMs));
         return false;
     }
 
+    /** Adds the time after which a request may be sent again, spread so that refused callers do not come back together; the default if it is not known. */
+    private createRetryLaterError(error: errors.FleetError, expectedMs: number | undefined): errors.FleetError {
+        return expectedMs === undefined ? error : { ...error, retryAfterMs: Math.round(expectedMs * (1 + this.options.context.randomness.getFraction())) };
+    }
+
     /** Rejects a request as soon as it can no longer be answered in time, wherever it is in the queue. */
     private scheduleRejection(queued: queuedRequest.QueuedRequest): void {
         const { loop: timers, clock } = this.options.context;
--- a/src/admission/shedControl.ts
+++ b/src/admission/shedControl.ts
@@ -1,39 +1,31 @@
-/** Applies the decisions about shedding services: which requests are admitted and which upstreams are preferred. */
+/** Applies the decisions about shedding services: whether a service sheds, and which requests are admitted while it does. */
 
 import * as promClient from "prom-client";
 import { match } from "ts-pattern";
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import type * as pool from "../pool/index.js";
-import * as shedAvoidance from "./shedAvoidance.js";
+import * as shedDetector from "./shedDetector.js";
 import * as shedLimiter from "./shedLimiter.js";
 import type * as types from "./types.js";
 
 /** An upstream with a higher failure probability is suspected. */
 const suspectProbability = 0.5;
 
-/** What the fleet knows of an upstream. */
-export interface UpstreamKnowledge {
-    /** The probability that it fails, from 0 to 1. */
-    readonly failureProbability: number;
-    /** When any instance last had a failed or shed attempt there, in monotonic milliseconds; -Infinity if none is known. */
-    readonly lastFailureAt: number;
-}
-
 /** Options of `ShedControl`. */
 export interface CreateShedControlOptions {
     readonly context: context.Context;
     readonly pool: pool.Pool;
-    /** Returns what the fleet knows of an upstream; undefined if instances do not share it. */
-    readonly getUpstreamKnowledge: (upstream: pool.Upstream, now: number) => UpstreamKnowledge | undefined;
+    /** Returns the probability that an upstream fails, as the fleet knows it; undefined if instances do not share it. */
+    readonly getFailureProbability: (upstream: pool.Upstream, now: number) => number | undefined;
 }
 
 interface ServiceControl {
     readonly limiter: shedLimiter.ShedLimiter;
-    readonly avoidance: shedAvoidance.ShedAvoidance;
+    readonly detector: shedDetector.ShedDetector;
 }
 
-/** One limiter and one avoidance for each service. Does nothing unless the setting `shed-limit` is `adaptive`. */
+/** One detector and one limiter for each service. Does nothing unless the setting `shed-limit` is `adaptive`. */
 export class ShedControl {
     private readonly services = new Map<string, ServiceControl>();
     private readonly isEnabled: boolean;
@@ -50,7 +42,7 @@
                     .exhaustive();
                 const control = this.services.get(upstream.service);
                 if (isShed !== undefined && control !== undefined) {
-                    control.avoidance.recordAttempt(upstream.getId(), isShed, now);
+                    control.detector.recordAttempt(upstream.getId(), isShed, now);
                     control.limiter.recordAttempt(upstream.getId(), isShed, now);
                 }
             },
@@ -81,9 +73,10 @@
             return;
         }
         const now = this.options.context.clock.getNow();
+        const getSuspectShare = (at: number) => this.getSuspectShare(service, at);
         this.services.set(service, {
-            limiter: new shedLimiter.ShedLimiter({ guaranteedShares, getSuspectShare: at => this.getSuspectShare(service, at), onChange: change => this.writeChange(service, change) }, now),
-            avoidance: new shedAvoidance.ShedAvoidance(at => this.getRecentFailureShare(service, at), now),
+            detector: new shedDetector.ShedDetector(getSuspectShare, now),
+            limiter: new shedLimiter.ShedLimiter({ guaranteedShares, getSuspectShare, onChange: change => this.writeChange(service, change) }, now),
         });
     }
 
@@ -112,9 +105,9 @@
         return this.services.get(service)?.limiter.getLimitPerS() !== undefined;
     }
 
-    /** Returns whether most of a service's upstreams shed, so that an upstream that sheds is not merely full. */
+    /** Returns whether several upstreams of a service shed, so that one that does is not merely full. */
     isShedding(service: string): boolean {
-        return this.services.get(service)?.avoidance.isActive(this.options.context.clock.getNow()) ?? false;
+        return this.services.get(service)?.detector.isShedding(this.options.context.clock.getNow()) ?? false;
     }
 
     /** Computes the delay after which the caller of a shed request may come back, in milliseconds; undefined for the default. */
@@ -123,36 +116,10 @@
         return this.services.get(service)?.limiter.computeRetryAfterMs(randomness.getFraction(), clock.getNow());
     }
 
-    /** Chooses an upstream; while the service sheds, one that has shed a short time ago only if no other has room. */
-    readonly chooseUpstream = (choose: types.ChooseUpstream): types.ChooseUpstream => (request, upstreams, now, queuedMs) => {
-        const avoidance = this.services.get(request.service)?.avoidance;
-        if (avoidance === undefined || !avoidance.isActive(now)) {
-            return choose(request, upstreams, now, queuedMs);
-        }
-        const preferred = upstreams.filter(upstream => !avoidance.isAvoided(upstream.getId(), this.getLastFailureAt(upstream, now), now));
-        return (preferred.length === 0 ? undefined : choose(request, preferred, now, queuedMs)) ?? choose(request, upstreams, now, queuedMs);
-    };
-
-    private getLastFailureAt(upstream: pool.Upstream, now: number): number {
-        return this.options.getUpstreamKnowledge(upstream, now)?.lastFailureAt ?? -Infinity;
-    }
-
-    private listUsableUpstreams(service: string, now: number): readonly pool.Upstream[] {
-        return (this.options.pool.getServicePool(service)?.upstreams ?? []).filter(upstream => !upstream.isLeaving(now));
-    }
-
     private getSuspectShare(service: string, now: number): number | undefined {
-        const known = this.listUsableUpstreams(service, now).map(upstream => this.options.getUpstreamKnowledge(upstream, now));
-        if (known.length === 0 || known[0] === undefined) {
-            return undefined;
-        }
-        return known.filter(knowledge => (knowledge?.failureProbability ?? 0) > suspectProbability).length / known.length;
-    }
-
-    private getRecentFailureShare(service: string, now: number): number {
-        const upstreams = this.listUsableUpstreams(service, now);
-        const failed = upstreams.filter(upstream => now - this.getLastFailureAt(upstream, now) < shedAvoidance.avoidedMs);
-        return upstreams.length === 0 ? 0 : failed.length / upstreams.length;
+        const upstreams = (this.options.pool.getServicePool(service)?.upstreams ?? []).filter(upstream => !upstream.isLeaving(now));
+        const probabilities = upstreams.map(upstream => this.options.getFailureProbability(upstream, now)).filter(probability => probability !== undefined);
+        return probabilities.length === 0 ? undefined : probabilities.filter(probability => probability > suspectProbability).length / probabilities.length;
     }
 
     private writeChange(service: string, change: shedLimiter.LimiterChange): void {
--- a/src/admission/shedAvoidance.ts
+++ b/src/admission/shedDetector.ts
@@ -1,7 +1,6 @@
 /**
- * Load pattern: most upstreams of a service shed a part of what they get, and some accept all. An upstream that has shed
- * and then accepted one request looks as good as those, so that requests go on to it. While the service sheds, upstreams
- * that refused anything a short time ago are used only if no other has room.
+ * Load pattern: most upstreams of a service shed a part of what they get. An upstream that sheds with all of its slots in
+ * use is taken for full otherwise, so that its health estimate stays good and requests go on to it.
  */
 
 import * as decayedCount from "./decayedCount.js";
@@ -12,15 +11,15 @@
 const minimumSheds = 1.2;
 const minimumShedShare = 0.1;
 const minimumShedUpstreams = 2;
-/** A single shed is enough if the fleet knows of failed or shed attempts at this share of the upstreams, a short time ago. */
-const widespreadShare = 0.3;
-/** It still does for this time after the last shed, because few attempts are shed while those upstreams are avoided. */
+/** A single shed is enough if the fleet takes this share of the upstreams for failing. */
+const widespreadSuspectShare = 0.2;
+/** It still does for this time after the last shed, because few attempts are shed while others are preferred. */
 const heldMs = 5_000;
-/** An upstream is avoided for this time after a shed or failed attempt. */
-export const avoidedMs = 4_000;
+/** An upstream counts for this time after a shed attempt. */
+const recentMs = 2_000;
 
-/** Knows which upstreams of one service to avoid. Callers pass the time, in monotonic milliseconds. */
-export class ShedAvoidance {
+/** Knows whether one service sheds at several upstreams. Callers pass the time, in monotonic milliseconds. */
+export class ShedDetector {
     private readonly attempts: decayedCount.DecayedCount;
     private readonly sheds: decayedCount.DecayedCount;
     /** When each upstream last shed an attempt of this instance. */
@@ -28,11 +27,10 @@
     private activeUntil = -Infinity;
 
     /**
-     * @param getRecentFailureShare - Returns the share of the upstreams at which any instance had a failed or shed attempt
-     * within `avoidedMs`.
+     * @param getSuspectShare - Returns the share of the service's upstreams that the fleet takes for failing; undefined if it is not known.
      * @param now - The time at which counting starts.
      */
-    constructor(private readonly getRecentFailureShare: (now: number) => number, now: number) {
+    constructor(private readonly getSuspectShare: (now: number) => number | undefined, now: number) {
         this.attempts = new decayedCount.DecayedCount(decayTimeMs, now);
         this.sheds = new decayedCount.DecayedCount(decayTimeMs, now);
     }
@@ -45,35 +43,23 @@
         }
         this.sheds.add(now);
         this.shedTimes.set(upstreamId, now);
-        this.removeExpired(now);
-        if (this.isActive(now) || this.isShedding(now) || this.getRecentFailureShare(now) >= widespreadShare) {
+        if (this.isShedding(now) || this.hasRecentSheds(now) || (this.getSuspectShare(now) ?? 0) >= widespreadSuspectShare) {
             this.activeUntil = now + heldMs;
         }
     }
 
     /** Returns whether the service sheds. */
-    isActive(now: number): boolean {
+    isShedding(now: number): boolean {
         return now < this.activeUntil;
     }
 
-    /**
-     * Returns whether an upstream is to be used only if no other has room.
-     * @param lastFailureAt - When any instance last had a failed or shed attempt there; -Infinity if none is known.
-     */
-    isAvoided(upstreamId: string, lastFailureAt: number, now: number): boolean {
-        return this.isActive(now) && now - Math.max(lastFailureAt, this.shedTimes.get(upstreamId) ?? -Infinity) < avoidedMs;
-    }
-
-    private isShedding(now: number): boolean {
-        const sheds = this.sheds.getWeight(now);
-        return sheds >= minimumSheds && sheds >= this.attempts.getWeight(now) * minimumShedShare && this.shedTimes.size >= minimumShedUpstreams;
-    }
-
-    private removeExpired(now: number): void {
+    private hasRecentSheds(now: number): boolean {
         this.shedTimes.forEach((shedAt, upstreamId) => {
-            if (now - shedAt >= avoidedMs) {
+            if (now - shedAt >= recentMs) {
                 this.shedTimes.delete(upstreamId);
             }
         });
+        const sheds = this.sheds.getWeight(now);
+        return sheds >= minimumSheds && sheds >= this.attempts.getWeight(now) * minimumShedShare && this.shedTimes.size >= minimumShedUpstreams;
     }
 }
--- a/src/upstreamHealth/healthEstimate.ts
+++ b/src/upstreamHealth/healthEstimate.ts
@@ -37,11 +37,6 @@
         return this.updatedAt;
     }
 
-    /** Returns when an attempt that failed or was shed with free slots was last recorded; -Infinity if none was. */
-    getLastFailureAt(): number {
-        return this.lastBadAt;
-    }
-
     /**
      * Records the outcome of one attempt.
      * @param sentAt - When the attempt was sent. A success is ignored if it was sent before the last failure, because it
