--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -54,6 +54,6 @@
             shedControl: shedding,
         });
         context.services.setService(admission.admissionKey, created);
-        return { start: async () => slotAllocator.start(), getDump: () => ({ queues: created.getDump(), parts: slotAllocator.getDump() }) };
+        return { start: async () => slotAllocator.start(), getDump: () => ({ queues: created.getDump(), parts: slotAllocator.getDump(), shedding: shedding.getDump() }) };
     },
 });
--- a/src/admission/shedControl.ts
+++ b/src/admission/shedControl.ts
@@ -100,9 +100,9 @@
         return { ...errors.createError("overloaded", `the service sheds, and this instance admits ${limit} requests per second to it`), retryAfterMs: this.computeRetryAfterMs(request.service) };
     }
 
-    /** Returns whether requests to the service are limited because it sheds. */
+    /** Returns whether requests to the service are limited because it sheds, and whether that has been found to be of use. */
     isLimited(service: string): boolean {
-        return this.services.get(service)?.limiter.getLimitPerS() !== undefined;
+        return this.services.get(service)?.limiter.isProven() ?? false;
     }
 
     /** Returns whether several upstreams of a service shed, so that one that does is not merely full. */
@@ -116,6 +116,11 @@
         return this.services.get(service)?.limiter.computeRetryAfterMs(randomness.getFraction(), clock.getNow());
     }
 
+    /** Returns which services shed, with their limits in requests per second, for the operators' dump. */
+    getDump(): unknown {
+        return Object.fromEntries([...this.services].filter(([service]) => this.isShedding(service)).map(([service, { limiter }]) => [service, { limitPerS: limiter.getLimitPerS() }]));
+    }
+
     private getSuspectShare(service: string, now: number): number | undefined {
         const upstreams = (this.options.pool.getServicePool(service)?.upstreams ?? []).filter(upstream => !upstream.isLeaving(now));
         const probabilities = upstreams.map(upstream => this.options.getFailureProbability(upstream, now)).filter(probability => probability !== undefined);
--- a/src/admission/shedLimiter.ts
+++ b/src/admission/shedLimiter.ts
@@ -128,7 +128,7 @@
 
     /** Records that a request is sent again, which counts against the limit. */
     recordRetry(now: number): void {
-        if (this.state.kind === "closed") {
+        if (this.state.kind === "closed" && this.isProven()) {
             this.state.tokens.takeUnconditionally(this.state.rate.getRatePerS(), now);
         }
     }
@@ -173,6 +173,11 @@
         return this.state.kind === "closed" ? this.state.rate.getRatePerS() : undefined;
     }
 
+    /** Returns whether there is a limit that has been found to be of use. */
+    isProven(): boolean {
+        return this.state.kind === "closed" && this.state.trialUntil === undefined;
+    }
+
     /**
      * Computes the delay after which a refused caller may come back, in milliseconds. The delays are spread over a time that
      * grows with the excess of the demand, so that the callers do not come back together.
--- a/test/admission/shedLimiter.test.ts
+++ b/test/admission/shedLimiter.test.ts
@@ -116,7 +116,7 @@
             instance.limiter.recordAttempt(chosen.id, true, now);
             instance.detector.recordAttempt(chosen.id, true, now);
         }
-        if (instance.budget >= 1 && tried.size + 1 < maximumAttempts && (!isLimited || instance.limiter.getLimitPerS() === undefined)) {
+        if (instance.budget >= 1 && tried.size + 1 < maximumAttempts && (!isLimited || !instance.limiter.isProven())) {
             instance.budget -= 1;
             send(instance, counts, new Set([...tried, chosen.id]));
         }
--- a/test/harness/healthInstance.ts
+++ b/test/harness/healthInstance.ts
@@ -58,5 +58,5 @@
             upstreams: upstreamPool.getServicePool("s")!.upstreams,
             now: time.now,
         });
-    return { time, logs, upstreamPool, choose };
+    return { time, logs, upstreamPool, health, choose };
 }
