--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -145,6 +145,7 @@
                         ranks: document.ranks,
                         recordQueueTime: (rank, queuedMs) => this.queueTimes.observe({ service, rank }, queuedMs / millisecondsPerSecond),
                         recordRefusal: (rankIndex, reason) => this.recordRefusal(service, rankIndex, reason),
+                        isShedding: () => this.options.shedControl.isShedding(service),
                         hasFairShares: () => this.options.configuration.getCurrent()?.needsKeys ?? false,
                     }),
                 );
--- a/src/admission/queuedRequest.ts
+++ b/src/admission/queuedRequest.ts
@@ -18,6 +18,9 @@
 /** The expected wait is scaled by this factor before a request is refused for it, because it is an estimate from few samples. */
 const waitDiscount = 0.8;
 
+/** While the service sheds, a retry that no upstream has run waits for this part of its target latency at most. */
+const shedRetryWaitFraction = 1 / 8;
+
 /** A request that waits for a slot. Times are monotonic milliseconds. */
 export interface QueuedRequest {
     readonly request: types.SlotRequest;
@@ -46,11 +49,16 @@
 /**
  * Returns until when a request may get a slot: while it can still be answered before its deadline, and a retry for its
  * target latency at most. The caller of a retry has waited for an earlier attempt already, and is answered instead.
+ * @param isShedding - Whether the request's service sheds. A retry then would wait for an upstream that is likely to accept.
  */
-export function computeLatestStart(queued: QueuedRequest): number {
+export function computeLatestStart(queued: QueuedRequest, isShedding: boolean): number {
     const { request, queuedAt } = queued;
     const latestInTime = request.deadlineAt - computeMinimumRemainingMs(queued);
-    return request.isRetry ? Math.min(latestInTime, queuedAt + request.targetLatencyMs) : latestInTime;
+    if (!request.isRetry) {
+        return latestInTime;
+    }
+    const maximumWaitMs = request.targetLatencyMs * (isShedding && !request.mayHaveRun ? shedRetryWaitFraction : 1);
+    return Math.min(latestInTime, queuedAt + maximumWaitMs);
 }
 
 /**
@@ -60,7 +68,7 @@
  * @param waitMs - Its expected wait, in milliseconds.
  */
 export function computeExpectedDelayMs(queued: QueuedRequest, waitMs: number): number | undefined {
-    const delayMs = queued.queuedAt + waitMs * waitDiscount - computeLatestStart(queued);
+    const delayMs = queued.queuedAt + waitMs * waitDiscount - computeLatestStart(queued, false);
     return delayMs > 0 ? delayMs : undefined;
 }
 
--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -18,6 +18,9 @@
 const redispatchDelayMs = 25;
 /** Number of requests at the head of a rank's queue that are tried when the first ones may not use the free upstreams. */
 const queueScanLimit = 8;
+/** The least time after which the caller of a retry that found no upstream may come back, in milliseconds. */
+const minimumRetryAfterMs = 500;
+
 /** Options of `Scheduler`. */
 export interface CreateSchedulerOptions {
     readonly context: context.Context;
@@ -32,6 +35,8 @@
     readonly recordRefusal?: (rankIndex: number, reason: types.RefusalReason) => void;
     /** Returns whether slots are shared between workspaces; by default, all requests of a rank form one group. */
     readonly hasFairShares?: () => boolean;
+    /** Returns whether the service sheds at several upstreams. */
+    readonly isShedding?: () => boolean;
 }
 
 /** The requests of one rank. */
@@ -124,14 +129,19 @@
     /** Rejects a request as soon as it can no longer be answered in time, wherever it is in the queue. */
     private scheduleRejection(queued: queuedRequest.QueuedRequest): void {
         const { loop: timers, clock } = this.options.context;
-        const remainingMs = queuedRequest.computeLatestStart(queued) - clock.getNow();
+        const getLatestStart = () => queuedRequest.computeLatestStart(queued, this.options.isShedding?.() ?? false);
+        const remainingMs = getLatestStart() - clock.getNow();
         queued.cancelTimer = timers.scheduleOnce(Math.max(1, remainingMs + 1), () => {
             // The route's median latency may have changed meanwhile.
-            if (clock.getNow() < queuedRequest.computeLatestStart(queued)) {
+            if (clock.getNow() < getLatestStart()) {
                 this.scheduleRejection(queued);
                 return;
             }
-            this.rejectWithReason(queued, "late", errors.createError("deadlineBeforeSend", "the time that was left for the request became too short while it was queued"));
+            const isInTime = clock.getNow() < queued.request.deadlineAt - queuedRequest.computeMinimumRemainingMs(queued);
+            const error = isInTime
+                ? this.createRetryLaterError(errors.createError("overloaded", "no upstream could take the request again within a part of its target latency"), minimumRetryAfterMs)
+                : errors.createError("deadlineBeforeSend", "the time that was left for the request became too short while it was queued");
+            this.rejectWithReason(queued, "late", error);
         });
     }
 
