--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -40,10 +40,7 @@
         const shedding = new shedControl.ShedControl({
             context,
             pool: upstreamPool,
-            getUpstreamKnowledge: (upstream, now) => {
-                const estimate = health?.table.getEstimate(upstream);
-                return estimate === undefined ? undefined : { failureProbability: estimate.getFailureProbability(now), lastFailureAt: estimate.getLastFailureAt() };
-            },
+            getFailureProbability: (upstream, now) => health?.table.getEstimate(upstream).getFailureProbability(now),
         });
         health?.setSheddingCheck(service => shedding.isShedding(service));
         const formatUpstreamSummary: types.FormatUpstreamSummary = (upstream, now) => health?.formatHealth(upstream, now) ?? `${upstream.getInFlight()}/${upstream.getConcurrencyLimit()} busy`;
@@ -53,12 +50,12 @@
             pool: upstreamPool,
             configuration: configurations,
             slotAllocator,
-            chooseUpstream: shedding.chooseUpstream(chooseUpstream),
+            chooseUpstream,
             formatUpstreamSummary,
             getUpstreamLoad,
             shedControl: shedding,
         });
         context.services.setService(admission.admissionKey, created);
-        return { start: async () => slotAllocator.start(), getDump: () => ({ queues: created.getDump(), parts: slotAllocator.getDump() }) };
+        return { start: async () => slotAllocator.start(), getDump: () => ({ queues: created.getDump(), parts: slotAllocator.getDump(), shedding: shedding.getDump() }) };
     },
 });
--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -18,6 +18,9 @@
 const redispatchDelayMs = 25;
 /** Number of requests at the head of a rank's queue that are tried when the first ones may not use the free upstreams. */
 const queueScanLimit = 8;
+/** The least time after which the caller of a retry that found no upstream may come back, in milliseconds. */
+const minimumRetryAfterMs = 500;
+
 /** Options of `Scheduler`. */
 export interface CreateSchedulerOptions {
     readonly context: context.Context;
@@ -33,6 +36,8 @@
     readonly recordRefusal?: (rankIndex: number, reason: types.RefusalReason) => void;
     /** Returns whether slots are shared between workspaces; by default, all requests of a rank form one group. */
     readonly hasFairShares?: () => boolean;
+    /** Returns whether the service sheds at several upstreams. */
+    readonly isShedding?: () => boolean;
 }
 
 /** The requests of one rank. */
@@ -88,8 +93,10 @@
         const { requests, forecast } = this.queues[request.rankIndex]!;
         const { queueLength } = this.options.context.settings;
         if (requests.getSize() >= queueLength) {
-            const refused = queuedRequest.chooseRefused(requests, queued, forecast.getIntervalMs(now) ?? queued.cost);
-            this.rejectWithReason(refused, "queueFull", errors.createError("overloaded", `the queue of the request's rank is full with ${requests.getSize()} requests`));
+            const intervalMs = forecast.getIntervalMs(now);
+            const refused = queuedRequest.chooseRefused(requests, queued, intervalMs ?? queued.cost);
+            const roomInMs = intervalMs === undefined || refused.workspace === "" ? undefined : requests.countServedUpTo(refused.workspace) * intervalMs;
+            this.rejectWithReason(refused, "queueFull", this.createRetryLaterError(errors.createError("overloaded", `the queue of the request's rank is full with ${requests.getSize()} requests`), roomInMs));
             if (refused === queued) {
                 return false;
             }
@@ -107,25 +114,35 @@
             return true;
         }
         const waitMs = requests.countServedUpTo(workspace) * intervalMs;
-        const retryAfterMs = queuedRequest.computeExpectedDelayMs(queued, waitMs);
-        if (retryAfterMs === undefined) {
+        const delayMs = queuedRequest.computeExpectedDelayMs(queued, waitMs);
+        if (delayMs === undefined) {
             return true;
         }
-        this.rejectWithReason(queued, "late", { ...errors.createError("deadlineBeforeSend", `the request's turn is expected in ${Math.round(waitMs)} ms, which is too late for its deadline`), retryAfterMs: Math.round(retryAfterMs) });
+        this.rejectWithReason(queued, "late", this.createRetryLaterError(errors.createError("deadlineBeforeSend", `the request's turn is expected in ${Math.round(waitMs)} ms, which is too late for its deadline`), delayMs));
         return false;
     }
 
+    /** Adds the time after which a request may be sent again, spread so that refused callers do not come back together; the default if it is not known. */
+    private createRetryLaterError(error: errors.FleetError, expectedMs: number | undefined): errors.FleetError {
+        return expectedMs === undefined ? error : { ...error, retryAfterMs: Math.round(expectedMs * (1 + this.options.context.randomness.getFraction())) };
+    }
+
     /** Rejects a request as soon as it can no longer be answered in time, wherever it is in the queue. */
     private scheduleRejection(queued: queuedRequest.QueuedRequest): void {
         const { loop: timers, clock } = this.options.context;
-        const remainingMs = queuedRequest.computeLatestStart(queued) - clock.getNow();
+        const getLatestStart = () => queuedRequest.computeLatestStart(queued, this.options.isShedding?.() ?? false);
+        const remainingMs = getLatestStart() - clock.getNow();
         queued.cancelTimer = timers.scheduleOnce(Math.max(1, remainingMs + 1), () => {
             // The route's median latency may have changed meanwhile.
-            if (clock.getNow() < queuedRequest.computeLatestStart(queued)) {
+            if (clock.getNow() < getLatestStart()) {
                 this.scheduleRejection(queued);
                 return;
             }
-            this.rejectWithReason(queued, "late", errors.createError("deadlineBeforeSend", "the time that was left for the request became too short while it was queued"));
+            const isInTime = clock.getNow() < queued.request.deadlineAt - queuedRequest.computeMinimumRemainingMs(queued);
+            const error = isInTime
+                ? this.createRetryLaterError(errors.createError("overloaded", "no upstream could take the request again within a part of its target latency"), minimumRetryAfterMs)
+                : errors.createError("deadlineBeforeSend", "the time that was left for the request became too short while it was queued");
+            this.rejectWithReason(queued, "late", error);
         });
     }
 
