Collect an announced body in one block, and count it as it arrives

A body was collected in doubling blocks and copied into one buffer, so that up to twice its size was held and the old blocks waited for the garbage collection.

--- a/src/callers/readBody.ts
+++ b/src/callers/readBody.ts
@@ -28,7 +28,7 @@
         return Promise.resolve(err(createBodyTooLargeError(maximumBytes)));
     }
     return new Promise(resolve => {
-        const body = new bodyBuffer.BodyBuffer({ maximumBytes, reservation, kind: "request" });
+        const body = new bodyBuffer.BodyBuffer({ maximumBytes, expectedBytes: declaredBytes, reservation, kind: "request" });
         const isFramingInProportion = framingCheck.createFramingCheck(request.socket);
         const timer = new idleTimer.IdleTimer({
             clock,
--- a/src/kernel/bodyBuffer.ts
+++ b/src/kernel/bodyBuffer.ts
@@ -4,11 +4,15 @@
 
 const minimumBlockBytes = 4_096;
 const maximumBlockBytes = 262_144;
+/** Memory of a block for the whole body is counted in steps of this size, as the body arrives: pages without data cost nothing. */
+const countedStepBytes = 32_768;
 
 /** Options of a body buffer. */
 export interface CreateBodyBufferOptions {
     /** The largest body, in bytes. */
     readonly maximumBytes: number;
+    /** The length that the sender announced, in bytes; 0 if it is not known. The body is then collected in one block and not copied again. */
+    readonly expectedBytes?: number;
     /** Accounts for the memory; undefined for a body that is only limited by `maximumBytes`. */
     readonly reservation?: heldBytes.Reservation;
     readonly kind: heldBytes.HolderKind;
@@ -27,6 +31,7 @@
     /** The bytes in use of the last block. */
     private usedBytes = 0;
     private length = 0;
+    /** The memory that is counted for the blocks. */
     private allocatedBytes = 0;
 
     constructor(private readonly options: CreateBodyBufferOptions) {}
@@ -47,6 +52,9 @@
         if (nextBlock === "memoryFull") {
             return nextBlock;
         }
+        if (nextBlock === undefined && !this.acquireUsed(this.length + piece.length)) {
+            return "memoryFull";
+        }
         const copied = block === undefined ? 0 : piece.copy(block, this.usedBytes);
         this.usedBytes += copied;
         if (nextBlock !== undefined) {
@@ -57,7 +65,7 @@
         return undefined;
     }
 
-    /** Returns the memory of the blocks, in bytes. */
+    /** Returns the memory that is counted for the blocks, in bytes. */
     getAllocatedBytes(): number {
         return this.allocatedBytes;
     }
@@ -84,7 +92,7 @@
         const { length, allocatedBytes } = this;
         const parts = this.takeParts();
         // A body that uses little of its block is copied, because its holder may keep it for long.
-        if (parts.length === 1 && length * 2 >= allocatedBytes) {
+        if (parts.length === 1 && length * 2 >= parts[0]!.buffer.byteLength) {
             return parts[0]!;
         }
         const body = Buffer.allocUnsafeSlow(length);
@@ -93,7 +101,26 @@
         return body;
     }
 
+    /** Counts more of a block for the whole body. Returns false, and counts nothing, if no memory is left. */
+    private acquireUsed(usedBytes: number): boolean {
+        const { expectedBytes = 0, reservation, kind } = this.options;
+        const countedBytes = Math.min(expectedBytes, Math.ceil(usedBytes / countedStepBytes) * countedStepBytes);
+        const addedBytes = countedBytes - this.allocatedBytes;
+        if (addedBytes <= 0) {
+            return true;
+        }
+        if (reservation?.acquire(addedBytes, kind) === false) {
+            return false;
+        }
+        this.allocatedBytes += addedBytes;
+        return true;
+    }
+
     private createBlock(neededBytes: number): Buffer | "memoryFull" {
+        const { expectedBytes = 0, maximumBytes } = this.options;
+        if (this.blocks.length === 0 && expectedBytes >= neededBytes && expectedBytes <= maximumBytes) {
+            return this.acquireUsed(neededBytes) ? Buffer.allocUnsafeSlow(expectedBytes) : "memoryFull";
+        }
         const previousBytes = this.blocks.at(-1)?.length ?? 0;
         const size = Math.max(neededBytes, minimumBlockBytes, Math.min(maximumBlockBytes, previousBytes * 2));
         if (this.options.reservation?.acquire(size, this.options.kind) === false) {
--- a/test/kernel/bodyMemory.test.ts
+++ b/test/kernel/bodyMemory.test.ts
@@ -39,6 +39,38 @@
         t.equal(account.getBytes(), 4);
     });
 
+    // An announced length costs the caller nothing. Memory that is counted for it would be taken from others.
+    await t.test("counts the memory of an announced body as it arrives, and does not copy the body again", async t => {
+        const { account } = createAccount(100_000);
+        const body = new bodyBuffer.BodyBuffer({ maximumBytes: 1_000_000, expectedBytes: 90_000, reservation: account.createReservation(), kind: "response" });
+        t.equal(body.add(Buffer.alloc(1)), undefined);
+        t.equal(account.getBytes(), 32_768);
+        t.equal(body.add(Buffer.alloc(89_999, "x")), undefined);
+        t.equal(account.getBytes(), 90_000);
+        const received = body.takeBody();
+        t.equal(received.length, 90_000);
+        t.equal(received.buffer.byteLength, 90_000);
+        t.equal(account.getBytes(), 90_000);
+
+        const other = new bodyBuffer.BodyBuffer({ maximumBytes: 1_000_000, expectedBytes: 90_000, reservation: account.createReservation(), kind: "response" });
+        t.equal(other.add(Buffer.alloc(1)), "memoryFull");
+        t.equal(account.getBytes(), 90_000);
+    });
+
+    await t.test("takes a body that is shorter or longer than was announced", async t => {
+        for (const length of [10, 200_000]) {
+            const { account } = createAccount(Infinity);
+            const body = new bodyBuffer.BodyBuffer({ maximumBytes: 1_000_000, expectedBytes: 100_000, reservation: account.createReservation(), kind: "response" });
+            const sent = Buffer.alloc(length, "abc");
+            for (let offset = 0; offset < length; offset += 7_000) {
+                t.equal(body.add(sent.subarray(offset, offset + 7_000)), undefined);
+            }
+            const received = body.takeBody();
+            t.ok(received.equals(sent), `${length} bytes`);
+            t.equal(account.getBytes(), length);
+        }
+    });
+
     await t.test("adds nothing of a piece beyond its limit or the memory that is left", async t => {
         const { account } = createAccount(10_000);
         const body = new bodyBuffer.BodyBuffer({ maximumBytes: 20_000, reservation: account.createReservation(), kind: "response" });
