Bound the bytes of bodies that an instance has in flight at one upstream

An upstream crashes if the requests that it holds exceed its memory. A limit of a service, or of the settings where the service has none, is checked when an upstream is chosen; it is off by default.

--- a/src/admission/index.ts
+++ b/src/admission/index.ts
@@ -5,6 +5,7 @@
 import * as peers from "../peers/index.js";
 import * as pool from "../pool/index.js";
 import * as admission from "./admission.js";
+import * as bodyRoom from "./bodyRoom.js";
 import * as slotSharing from "./slotSharing.js";
 import * as upstreamHealth from "../upstreamHealth/index.js";
 import type * as types from "./types.js";
@@ -35,7 +36,11 @@
                 allocatedUpstreamIds: slotAllocator.getAllocatedUpstreamIds(request.service),
             });
         const health = context.services.findService(upstreamHealth.upstreamHealthKey);
-        const chooseUpstream: types.ChooseUpstream = health === undefined ? chooseByLoad : (request, upstreams, now, queuedMs) => health.chooseUpstream({ ...request, upstreams, now, queuedMs });
+        const chooseAmong: types.ChooseUpstream = health === undefined ? chooseByLoad : (request, upstreams, now, queuedMs) => health.chooseUpstream({ ...request, upstreams, now, queuedMs });
+        const chooseUpstream: types.ChooseUpstream = (request, upstreams, now, queuedMs) => {
+            const limitBytes = upstreamPool.getServicePool(request.service)?.definition.upstreamBodyBytes ?? (context.settings.upstreamBodyBytes || undefined);
+            return chooseAmong(request, bodyRoom.listUpstreamsWithRoom(upstreams, { bodyBytes: request.bodyBytes, limitBytes }), now, queuedMs);
+        };
         const formatUpstreamSummary: types.FormatUpstreamSummary = (upstream, now) => health?.formatHealth(upstream, now) ?? `${upstream.getInFlight()}/${upstream.getConcurrencyLimit()} busy`;
         const created: admission.Admission = new admission.Admission({ context, pool: upstreamPool, configuration: configurations, slotAllocator, chooseUpstream, formatUpstreamSummary });
         context.services.setService(admission.admissionKey, created);
--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -181,6 +181,7 @@
         const { request } = queued;
         const upstreamSummary = this.options.formatUpstreamSummary(upstream, now);
         const attempt = this.options.pool.startAttempt(upstream, request.route, request.rankIndex);
+        attempt.requestBytes = request.bodyBytes;
         this.rankUsage.addInFlight(request.rankIndex, now);
         this.options.recordQueueTime?.(this.options.ranks[request.rankIndex]!.name, now - queued.queuedAt);
         let isReleased = false;
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -13,6 +13,8 @@
     readonly workspace: string;
     /** The digest of the key that the request was admitted by; undefined if it needed none. */
     readonly keyDigest: string | undefined;
+    /** The size of the request's body, in bytes. */
+    readonly bodyBytes: number;
     /** Whether the request may safely run twice, as configured for its route. */
     readonly isRepeatable: boolean;
     /** Whether the request can be retried if this attempt fails. */
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -42,6 +42,8 @@
     slots: z.number().int().min(1).max(10_000),
     /** Maximum number of connections that one upstream accepts from the whole fleet. */
     connections: z.number().int().min(1).max(1_000_000),
+    /** Most bytes of request bodies that one instance has in flight at one upstream; no limit if omitted. A larger body is sent where no other is in flight. */
+    upstreamBodyBytes: z.number().int().min(1).max(1_073_741_824).optional(),
     /** Minimum number of upstreams that ejection must leave routable. */
     floor: z.number().int().min(0),
     shed: shedSchema.prefault({}),
--- a/src/pool/types.ts
+++ b/src/pool/types.ts
@@ -38,6 +38,8 @@
     readonly startedAt: number;
     /** Time at which the response headers arrived. */
     respondedAt?: number;
+    /** Request body size in bytes. */
+    requestBytes?: number;
     /** Response body size in bytes, if the response declared it. */
     responseBytes?: number;
 }
--- a/src/pool/upstream.ts
+++ b/src/pool/upstream.ts
@@ -93,6 +93,11 @@
         return this.attempts.size;
     }
 
+    /** Returns the bytes of the request bodies of this instance's in-flight requests. */
+    getBodyBytesInFlight(): number {
+        return [...this.attempts].reduce((sum, { requestBytes = 0 }) => sum + requestBytes, 0);
+    }
+
     /** Returns the current limit on this instance's in-flight requests. */
     getConcurrencyLimit(): number {
         return Math.floor(this.concurrencyLimit);
--- a/src/requests/executorContext.ts
+++ b/src/requests/executorContext.ts
@@ -206,6 +206,7 @@
             feature: request.feature,
             workspace: request.workspace,
             keyDigest: request.keyDigest,
+            bodyBytes: request.body.length,
             isRepeatable: route.repeatable,
             ...progress,
             deadlineAt: request.deadlineAt,
--- a/src/settings/serveSettings.ts
+++ b/src/settings/serveSettings.ts
@@ -72,6 +72,7 @@
     bodyIdleTimeoutMs: createIntegerSchema(100, 600_000, 30_000).describe("The longest pause within a body, in milliseconds; a pause that the reader causes does not count."),
     requestBodyBytes: createIntegerSchema(0, 268_435_456, 8_388_608).describe("The largest request body, in bytes."),
     bodyBytesHeld: createIntegerSchema(1_048_576, 4_294_967_296, 268_435_456).describe("The most memory that request and response bodies occupy at once, in bytes; requests beyond it are refused."),
+    upstreamBodyBytes: createIntegerSchema(0, 1_073_741_824, 0).describe("The most bytes of request bodies that this instance has in flight at one upstream, for services whose configuration gives no limit. 0 for no limit."),
     memoryMb: createDecimalSchema(16_777_216, 0).describe("The memory that the platform gives the process, in MiB; bodies then occupy at most half of what it leaves beside the program. 0 where it is not limited."),
     unsizedBodyBytes: createIntegerSchema(1_024, 1_099_511_627_776, 1_073_741_824).describe("The largest response body without a Content-Length, in bytes; a longer one is cut, since an upstream in trouble may send bytes without end."),
     callerConnections: createIntegerSchema(1, 1_000_000, 10_000).describe("The most callers' connections at once."),
--- a/test/harness/platform.ts
+++ b/test/harness/platform.ts
@@ -17,7 +17,7 @@
 export interface TestRoute {
     readonly name: string;
     readonly prefix: string;
-    readonly kind: "safe" | "unsafe" | "download";
+    readonly kind: "safe" | "unsafe" | "download" | "upload";
     readonly service?: string;
     readonly split?: readonly { readonly service: string; readonly weight: number; }[];
     readonly timeoutMs?: number;
