--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -277,6 +277,7 @@
     private createSlot(request: types.SlotRequest, upstream: pool.Upstream, { now, queuedMs, onReleased }: { readonly now: number; readonly queuedMs: number; readonly onReleased?: (usedMs: number) => void; }): types.Slot {
         const upstreamSummary = this.options.formatUpstreamSummary(upstream, now);
         const attempt = this.options.pool.startAttempt(upstream, request.route, request.rankIndex);
+        attempt.requestBytes = request.bodyBytes;
         this.rankUsage.addInFlight(request.rankIndex, now);
         let isReleased = false;
         return {
--- a/test/requests/overdueRetry.test.ts
+++ b/test/requests/overdueRetry.test.ts
@@ -22,6 +22,7 @@
     const executor = {
         context: { clock: { getNow: () => now } },
         latencies: { getQuantile: () => medianMs },
+        hedging: { getMaximumShare: () => 0 },
         getServiceDefinition: () => ({ minimumStallMs: 250 }),
         getRetryBudget: () => ({ recordRequest: () => {}, getRemainingRetries: () => now >= retryFreeAt ? 1 : 0, acquireRetry: () => now >= retryFreeAt }),
         acquireSlot: () => Promise.resolve(ok({ upstream: { getId: () => `u${attempts}`, routability: { kind: "routable" } }, attempt: { startedAt: now }, release: () => {} })),
