Check a configuration for entries without effect, contradictions and differences

Cause: agatebend check reported errors alone, as lines of text without codes, and could not tell what a document changes in the version in force.

--- a/src/cli/clientCommands.ts
+++ b/src/cli/clientCommands.ts
@@ -1,8 +1,7 @@
-/** The commands that manage the fleet: apply, get, retire, drain, status and check. */
+/** The commands that manage the fleet: apply, get, retire, drain and status. */
 
 import * as fs from "node:fs";
 import * as z from "zod";
-import * as configuration from "../configuration/index.js";
 import * as errors from "../kernel/errors.js";
 import type * as operatorPb from "../rpc/agatebend/v1/operator_pb.js";
 import * as operatorClient from "./operatorClient.js";
@@ -101,32 +100,6 @@
     }, error => output.printError(error, options.json));
 }
 
-/**
- * Checks a configuration file without contacting an instance.
- * @param options - The file, and whether to print JSON.
- */
-export function runCheck(options: { readonly file: string; readonly json: boolean; }): void {
-    const text = readConfigurationFile(options.file, options.json);
-    if (text === undefined) {
-        return;
-    }
-    configuration.parseDocument(text).match(document => {
-        const counts = {
-            services: Object.keys(document.services).length,
-            upstreams: Object.values(document.services).reduce((sum, service) => sum + service.upstreams.length, 0),
-            routes: document.routes.length,
-            ranks: document.ranks.length,
-            retiredFeatures: document.retiredFeatures.length,
-        };
-        if (options.json) {
-            output.printJson({ valid: true, ...counts });
-            return;
-        }
-        process.stdout.write(`${options.file} is valid\n`);
-        output.printTable([counts]);
-    }, error => output.printError(error, options.json));
-}
-
 function readConfigurationFile(file: string, isJson: boolean): string | undefined {
     try {
         return fs.readFileSync(file, "utf8");
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -2,6 +2,7 @@
 
 import yargs, { type Argv } from "yargs";
 import * as settings from "../settings/index.js";
+import * as checkCommand from "./checkCommand.js";
 import * as clientCommands from "./clientCommands.js";
 import * as exitStatus from "./exitStatus.js";
 import * as explainCommand from "./explainCommand.js";
@@ -67,10 +68,13 @@
                 .options(applyEnvironmentDefaults(clientFlags))
                 .option("all", allFlag)
                 .option("for-ms", { type: "number", default: 0, describe: "How long to watch, in milliseconds; 0 watches until interrupted." }), values => inspectionCommands.runWatch(values))
-        .command("check <file>", "Check a configuration file without contacting an instance; the exit status is 2 if it is invalid.", command =>
+        .command("check <file>", "Check a configuration file before it is sent; the exit status is 2 if it is invalid, and 1 if it has warnings and --strict is given.", command =>
             command
                 .positional("file", { type: "string", demandOption: true, describe: "The configuration file, as JSON." })
-                .option("json", clientFlags.json), values => clientCommands.runCheck(values))
+                .options(applyEnvironmentDefaults({ "secret-file": clientFlags["secret-file"], "tls-authority-file": clientFlags["tls-authority-file"], json: clientFlags.json }))
+                .option("against", { type: "string", default: "", describe: "A configuration file, or the operator address of an instance, to list the differences from." })
+                .option("strict", { type: "boolean", default: false, describe: "Fail if there are warnings." })
+                .option("output", { choices: ["text", "json"] as const, default: "text" as const, describe: "The form of the output; json is the same as --json." }), values => checkCommand.runCheck(values))
         .command("explain <files..>", "Print the log lines of several instances that explain one request.", command =>
             command
                 .positional("files", { type: "string", array: true, demandOption: true, describe: "Log files with one JSON object per line." })
--- a/src/configuration/checkDocument.ts
+++ b/src/configuration/checkDocument.ts
@@ -5,6 +5,7 @@
 import * as boundedJson from "../kernel/boundedJson.js";
 import * as errors from "../kernel/errors.js";
 import * as settings from "../settings/index.js";
+import * as findings from "./findings.js";
 import * as schema from "./schema.js";
 
 const maximumReportedProblems = 20;
@@ -15,9 +16,20 @@
  * @param input - Parsed JSON.
  */
 export function checkDocument(input: unknown): Result<schema.ConfigurationDocument, errors.FleetError> {
+    return findDocumentErrors(input).mapErr(problems => createInvalidError(problems.map(findings.formatFinding)));
+}
+
+/**
+ * Validates a parsed JSON document and fills in defaults. Returns all errors if it is invalid.
+ * @param input - Parsed JSON.
+ */
+export function findDocumentErrors(input: unknown): Result<schema.ConfigurationDocument, readonly findings.Finding[]> {
     const parsed = schema.documentSchema.safeParse(input);
     if (!parsed.success) {
-        return createInvalidResult(parsed.error.issues.map(issue => settings.formatSchemaIssue(issue, input)));
+        return err(parsed.error.issues.map(issue => {
+            const path = issue.path.map(String).join(".") || "(the document)";
+            return createError(issue.code === "unrecognized_keys" ? "field-unknown" : "field-invalid", path, settings.formatSchemaIssue(issue, input).slice(path.length + ": ".length));
+        }));
     }
     const problems = [
         ...checkRanks(parsed.data),
@@ -25,7 +37,7 @@
         ...checkRoutes(parsed.data),
         ...checkWorkspaces(parsed.data),
     ];
-    return problems.length === 0 ? ok(parsed.data) : createInvalidResult(problems);
+    return problems.length === 0 ? ok(parsed.data) : err(problems);
 }
 
 /** Parses and validates a document given as JSON text. */
@@ -37,7 +49,7 @@
 export function parseVersionedDocument(text: string): Result<z.infer<typeof versionedDocumentSchema>, errors.FleetError> {
     return parseDocumentJson(text).andThen(input => {
         const parsed = versionedDocumentSchema.safeParse(input);
-        return parsed.success ? ok(parsed.data) : createInvalidResult(parsed.error.issues.map(issue => settings.formatSchemaIssue(issue, input)));
+        return parsed.success ? ok(parsed.data) : err(createInvalidError(parsed.error.issues.map(issue => settings.formatSchemaIssue(issue, input))));
     });
 }
 
@@ -45,62 +57,64 @@
     return boundedJson.parseJson(text).mapErr(error => errors.createError("configurationInvalid", error.message));
 }
 
-function createInvalidResult(problems: readonly string[]): Result<never, errors.FleetError> {
+const createError = (code: string, path: string, message: string) => findings.createFinding("error", code, path, message);
+
+function createInvalidError(problems: readonly string[]): errors.FleetError {
     const omitted = problems.length - maximumReportedProblems;
     const lines = omitted > 0 ? [...problems.slice(0, maximumReportedProblems), `and ${omitted} more`] : problems;
-    return err(errors.createError("configurationInvalid", lines.join("\n")));
+    return errors.createError("configurationInvalid", lines.join("\n"));
 }
 
-function checkRanks(document: schema.ConfigurationDocument): readonly string[] {
+function checkRanks(document: schema.ConfigurationDocument): readonly findings.Finding[] {
     const totalShare = document.ranks.reduce((sum, rank) => sum + rank.guaranteedShare, 0);
-    const problems = listDuplicates(document.ranks.map(rank => rank.name)).map(name => `ranks: the name ${name} is used twice; names must differ`);
+    const problems = listDuplicates(document.ranks.map(rank => rank.name)).map(name => createError("rank-name-repeated", "ranks", `the name ${name} is used twice; names must differ`));
     if (totalShare > 1 + Number.EPSILON * document.ranks.length) {
-        problems.push(`ranks: the guaranteedShare values add up to ${totalShare}; at most 1 is allowed`);
+        problems.push(createError("rank-shares-above-one", "ranks", `the guaranteedShare values add up to ${totalShare}; at most 1 is allowed`));
     }
     if (totalShare === 0) {
-        problems.push("ranks: every guaranteedShare is 0; give at least one rank a share above 0");
+        problems.push(createError("rank-shares-zero", "ranks", "every guaranteedShare is 0; give at least one rank a share above 0"));
     }
     return problems;
 }
 
-function checkService(name: string, service: schema.ServiceDefinition): readonly string[] {
+function checkService(name: string, service: schema.ServiceDefinition): readonly findings.Finding[] {
     const field = `services.${name}`;
     const problems = [
-        ...listDuplicates(service.upstreams.map(upstream => upstream.id)).map(id => `${field}.upstreams: the id ${id} is used twice; ids must differ`),
-        ...listDuplicates(service.upstreams.map(upstream => upstream.address)).map(address => `${field}.upstreams: the address ${address} is used twice; addresses must differ`),
+        ...listDuplicates(service.upstreams.map(upstream => upstream.id)).map(id => createError("upstream-id-repeated", `${field}.upstreams`, `the id ${id} is used twice; ids must differ`)),
+        ...listDuplicates(service.upstreams.map(upstream => upstream.address)).map(address => createError("upstream-address-repeated", `${field}.upstreams`, `the address ${address} is used twice; addresses must differ`)),
     ];
     if (service.floor > service.upstreams.length) {
-        problems.push(`${field}.floor: value ${service.floor}: must be at most the number of upstreams, ${service.upstreams.length}`);
+        problems.push(createError("floor-above-upstreams", `${field}.floor`, `value ${service.floor}: must be at most the number of upstreams, ${service.upstreams.length}`));
     }
     return problems;
 }
 
-function checkRoutes(document: schema.ConfigurationDocument): readonly string[] {
+function checkRoutes(document: schema.ConfigurationDocument): readonly findings.Finding[] {
     const ranks = new Set(document.ranks.map(rank => rank.name));
-    const problems = listDuplicates(document.routes.map(route => route.name)).map(name => `routes: the name ${name} is used twice; names must differ`);
+    const problems = listDuplicates(document.routes.map(route => route.name)).map(name => createError("route-name-repeated", "routes", `the name ${name} is used twice; names must differ`));
     const matches = document.routes.flatMap(route => listHosts(route).flatMap(host => route.methods.map(method => `${method} ${host}${route.pathPrefix}`)));
-    problems.push(...listDuplicates(matches).map(match => `routes: two routes match ${match}; remove one of them`));
+    problems.push(...listDuplicates(matches).map(match => createError("route-match-repeated", "routes", `two routes match ${match}; remove one of them`)));
     for (const [index, route] of document.routes.entries()) {
         problems.push(...checkTargets(route, `routes.${index}`, document));
         if (!ranks.has(route.rank)) {
-            problems.push(`routes.${index}.rank: value "${route.rank}": no such rank; allowed: ${[...ranks].join(", ")}`);
+            problems.push(createError("rank-unknown", `routes.${index}.rank`, `value "${route.rank}": no such rank; allowed: ${[...ranks].join(", ")}`));
         }
     }
     return problems;
 }
 
-function checkWorkspaces(document: schema.ConfigurationDocument): readonly string[] {
+function checkWorkspaces(document: schema.ConfigurationDocument): readonly findings.Finding[] {
     const ranks = new Set(document.ranks.map(rank => rank.name));
-    const problems: string[] = [];
+    const problems: findings.Finding[] = [];
     const ownerByDigest = new Map<string, string>();
     for (const [name, { keyDigests, rank }] of Object.entries(document.workspaces)) {
         if (rank !== undefined && !ranks.has(rank)) {
-            problems.push(`workspaces.${name}.rank: value "${rank}": no such rank; allowed: ${[...ranks].join(", ")}`);
+            problems.push(createError("rank-unknown", `workspaces.${name}.rank`, `value "${rank}": no such rank; allowed: ${[...ranks].join(", ")}`));
         }
         for (const digest of keyDigests) {
             const owner = ownerByDigest.get(digest);
             if (owner !== undefined) {
-                problems.push(`workspaces.${name}.keyDigests: the digest beginning with ${digest.slice(0, 8)} is also held by the workspace ${owner}; a key names one workspace`);
+                problems.push(createError("key-shared", `workspaces.${name}.keyDigests`, `the digest beginning with ${digest.slice(0, 8)} is also held by the workspace ${owner}; a key names one workspace`));
             }
             ownerByDigest.set(digest, name);
         }
@@ -108,15 +122,15 @@
     return problems;
 }
 
-function checkTargets(route: schema.RouteDefinition, field: string, document: schema.ConfigurationDocument): readonly string[] {
+function checkTargets(route: schema.RouteDefinition, field: string, document: schema.ConfigurationDocument): readonly findings.Finding[] {
     if ((route.service === undefined) === (route.split.length === 0)) {
-        return [`${field}: give either service or split`];
+        return [createError("route-target-unclear", field, "give either service or split")];
     }
     const allowed = Object.keys(document.services).join(", ");
     const references = route.service === undefined ? route.split.map((target, index) => ({ at: `${field}.split.${index}.service`, service: target.service })) : [{ at: `${field}.service`, service: route.service }];
-    const problems = references.filter(({ service }) => !Object.hasOwn(document.services, service)).map(({ at, service }) => `${at}: value "${service}": no such service; allowed: ${allowed}`);
+    const problems = references.filter(({ service }) => !Object.hasOwn(document.services, service)).map(({ at, service }) => createError("service-unknown", at, `value "${service}": no such service; allowed: ${allowed}`));
     const totalWeight = route.split.reduce((sum, target) => sum + target.weight, 0);
-    return route.split.length > 0 && totalWeight === 0 ? [...problems, `${field}.split: every weight is 0; give at least one service a weight above 0`] : problems;
+    return route.split.length > 0 && totalWeight === 0 ? [...problems, createError("split-weights-zero", `${field}.split`, "every weight is 0; give at least one service a weight above 0")] : problems;
 }
 
 function listHosts(route: schema.RouteDefinition): readonly string[] {
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -7,10 +7,13 @@
 import * as configurationService from "./configurationService.js";
 import * as externalConfiguration from "./externalConfiguration.js";
 
-export { checkDocument, parseDocument } from "./checkDocument.js";
+export { checkDocument, findDocumentErrors, parseDocument } from "./checkDocument.js";
 export { type CompiledConfiguration, type CompiledRoute, type CompiledWorkspace, findRoute } from "./compiledConfiguration.js";
 export { configurationKey, type ConfigurationService } from "./configurationService.js";
+export { listDifferences } from "./documentDifferences.js";
+export { listWarnings } from "./documentWarnings.js";
 export { type ConfigurationParser, configurationParserKey, type ExternalConfiguration } from "./externalConfiguration.js";
+export { createFinding, type Finding, formatFinding } from "./findings.js";
 export { RouteSplitter } from "./routeSplitter.js";
 export { type ConfigurationDocument, documentSchema, hostPattern, namePattern, type RankDefinition, type RouteDefinition, type ServiceDefinition, type UpstreamDefinition, upstreamSchema, type WorkspaceDefinition } from "./schema.js";
 
