--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -12,7 +12,9 @@
 import * as queueForecast from "./queueForecast.js";
 import * as rankUsageTracker from "./rankUsageTracker.js";
 import * as requestedPauses from "./requestedPauses.js";
+import * as slot from "./slot.js";
 import type * as types from "./types.js";
+import * as upstreamLoads from "./upstreamLoads.js";
 
 /** Delay until the next dispatch while requests are queued and no event triggers one, in milliseconds. */
 const redispatchDelayMs = 25;
@@ -163,16 +165,14 @@
         if (!isWithinAllocation || this.queues.some(({ requests }) => requests.getSize() > 0)) {
             return undefined;
         }
-        const free = this.listRoutableUpstreams(now).filter(({ upstream, load }) => load.inFlight < load.limit && !upstream.isAvoided(now)).map(({ upstream }) => upstream);
+        const free = upstreamLoads.listFreeUpstreams(this.listUpstreams(), this.options.getUpstreamLoad, now);
         const chosen = this.options.chooseUpstream(request, free, now, 0);
-        return chosen === undefined ? undefined : this.createSlot(request, chosen, { now, queuedMs: 0 });
+        return chosen === undefined ? undefined : slot.createSlot({ ...this.options, rankUsage: this.rankUsage, request, upstream: chosen, now, queuedMs: 0 });
     }
 
     /** Returns the share of the slots of routable upstreams that are in use, from 0 to 1; 1 if there are none. */
     getUtilization(): number {
-        const loads = this.listRoutableUpstreams(this.options.context.clock.getNow()).map(({ load }) => load);
-        const slots = loads.reduce((sum, { limit }) => sum + limit, 0);
-        return slots === 0 ? 1 : loads.reduce((sum, { inFlight, limit }) => sum + Math.min(inFlight, limit), 0) / slots;
+        return upstreamLoads.computeUtilization(this.listUpstreams(), this.options.getUpstreamLoad, this.options.context.clock.getNow());
     }
 
     /** Starts queued requests until no further request can get a slot. */
@@ -242,11 +242,11 @@
     }
 
     private startNextOfRank(rank: number, now: number): boolean {
-        const servicePool = this.options.pool.getServicePool(this.options.service);
+        const upstreams = this.listUpstreams();
         const { requests } = this.queues[rank]!;
-        this.rejectDuringPause(requests, servicePool?.upstreams ?? [], now);
+        this.rejectDuringPause(requests, upstreams, now);
         for (const queued of requests.listNext(queueScanLimit)) {
-            const chosen = this.options.chooseUpstream(queued.request, servicePool?.upstreams ?? [], now, now - queued.queuedAt);
+            const chosen = this.options.chooseUpstream(queued.request, upstreams, now, now - queued.queuedAt);
             if (chosen !== undefined) {
                 requests.take(queued);
                 this.startRequest(queued, chosen, now);
@@ -256,12 +256,8 @@
         return false;
     }
 
-    private listRoutableUpstreams(now: number): readonly { readonly upstream: pool.Upstream; readonly load: types.UpstreamLoad; }[] {
-        const upstreams = this.options.pool.getServicePool(this.options.service)?.upstreams ?? [];
-        return upstreams.filter(upstream => (upstream.routability.kind === "routable" || upstream.routability.kind === "recovering") && !upstream.isLeaving(now) && !upstream.isPaused(now)).map(upstream => ({
-            upstream,
-            load: this.options.getUpstreamLoad(upstream),
-        }));
+    private listUpstreams(): readonly pool.Upstream[] {
+        return this.options.pool.getServicePool(this.options.service)?.upstreams ?? [];
     }
 
     private startRequest(queued: queuedRequest.QueuedRequest, upstream: pool.Upstream, now: number): void {
@@ -271,31 +267,7 @@
         const queuedMs = now - queued.queuedAt;
         this.options.recordQueueTime?.(this.options.ranks[request.rankIndex]!.name, queuedMs);
         const onReleased = (usedMs: number) => requests.recordUsage(workspace, cost, usedMs);
-        this.resolveRequest(queued, ok(this.createSlot(request, upstream, { now, queuedMs, onReleased })));
-    }
-
-    private createSlot(request: types.SlotRequest, upstream: pool.Upstream, { now, queuedMs, onReleased }: { readonly now: number; readonly queuedMs: number; readonly onReleased?: (usedMs: number) => void; }): types.Slot {
-        const upstreamSummary = this.options.formatUpstreamSummary(upstream, now);
-        const attempt = this.options.pool.startAttempt(upstream, request.route, request.rankIndex);
-        attempt.requestBytes = request.bodyBytes;
-        this.rankUsage.addInFlight(request.rankIndex, now);
-        let isReleased = false;
-        return {
-            upstream,
-            attempt,
-            queuedMs,
-            upstreamSummary,
-            release: outcome => {
-                if (isReleased) {
-                    return;
-                }
-                isReleased = true;
-                const endedAt = this.options.context.clock.getNow();
-                onReleased?.(endedAt - now);
-                this.rankUsage.removeInFlight(request.rankIndex, endedAt);
-                this.options.pool.finishAttempt(upstream, attempt, outcome);
-            },
-        };
+        this.resolveRequest(queued, ok(slot.createSlot({ ...this.options, rankUsage: this.rankUsage, request, upstream, now, queuedMs, onReleased })));
     }
 
     /** Rejects requests at the head of the queue that can no longer be answered before their deadline, to save slots for others. */
