Prefer larger instances as relays of a cell

Lines news-relay-avoided name the same few relays 30 to 60 times each in 36 s. Relays were chosen by hash alone, so most of them were among the instances with 0.27 of a core and 7 Mbit/s, next to larger ones with 1.35 and 140.

Members announce the capacity of their settings; an instance of twice the capacity ranks above all smaller ones. Without the settings, and among equals, the choice is unchanged (test/peers/topology.test.ts). capacity-core-speed completes capacity-cores.

--- a/src/callers/entryWeight.ts
+++ b/src/callers/entryWeight.ts
@@ -1,9 +1,5 @@
 /** The weight of an instance among the entry points: its capacity, reduced while it is slow or full. Needs no clock, timers or network. */
 
-import type * as settings from "../settings/index.js";
-
-/** The link rate that one core keeps busy: 500 requests a second with 5 KB for request and response, which is assumed, not measured. */
-const linkMbpsPerCore = 20;
 /** A timer that is late by more than this, on average, shows that the process lacks processor time. */
 const usualDelayMs = 20;
 /** An instance of weight 1 with more requests in flight than this gets fewer. */
@@ -26,12 +22,6 @@
     readonly heldFraction: number;
 }
 
-/** Returns the capacity that the settings give, in cores; undefined if they give none. */
-export function computeCapacity({ capacityCores, capacityLinkMbps }: Pick<settings.ServeSettings, "capacityCores" | "capacityLinkMbps">): number | undefined {
-    const limits = [capacityCores, capacityLinkMbps / linkMbpsPerCore].filter(limit => limit > 0);
-    return limits.length === 0 ? undefined : Math.min(...limits);
-}
-
 /**
  * Computes the weight of an instance. It differs from the previous one only if the load has changed by more than a step, so
  * that a load between two steps does not change it again and again.
--- a/src/callers/entryWeightReporter.ts
+++ b/src/callers/entryWeightReporter.ts
@@ -3,6 +3,7 @@
 import type * as context from "../kernel/context.js";
 import * as heldBytes from "../kernel/heldBytes.js";
 import type * as peers from "../peers/index.js";
+import * as serveSettings from "../settings/index.js";
 import * as entryWeight from "./entryWeight.js";
 
 /** The interval between two observations of the event loop's delay. */
@@ -34,7 +35,7 @@
     /** Publishes the weight, now and after changes of the load. Does nothing if the settings give no capacity. */
     start(): void {
         const { context: { clock, loop, settings } } = this.options;
-        const capacity = entryWeight.computeCapacity(settings);
+        const capacity = serveSettings.computeCapacity(settings);
         if (capacity === undefined) {
             return;
         }
--- a/src/peers/fleetTopology.ts
+++ b/src/peers/fleetTopology.ts
@@ -4,6 +4,7 @@
 import type * as link from "./link.js";
 import type * as linkManager from "./linkManager.js";
 import type * as members from "./members.js";
+import * as serveSettings from "../settings/index.js";
 import * as topology from "./topology.js";
 
 /** Options of the fleet's topology. */
@@ -69,8 +70,8 @@
         const others = listMembers().filter(member => member.instanceId !== instanceId);
         return new topology.Topology({
             members: [
-                { instanceId, failureDomain, isSteady: !isDraining() },
-                ...others.map(member => ({ instanceId: member.instanceId, failureDomain: member.failureDomain, isSteady: member.state !== "draining" && member.state !== "suspect" })),
+                { instanceId, failureDomain, isSteady: !isDraining(), capacity: serveSettings.computeCapacity(settings) },
+                ...others.map(member => ({ instanceId: member.instanceId, failureDomain: member.failureDomain, isSteady: member.state !== "draining" && member.state !== "suspect", capacity: member.capacity })),
             ],
             maximumCompleteSize: settings.maximumPeerLinks + 1,
             listedCount,
--- a/src/peers/members.ts
+++ b/src/peers/members.ts
@@ -2,6 +2,7 @@
 
 import * as z from "zod";
 import * as cachedParser from "../kernel/cachedParser.js";
+import * as serveSettings from "../settings/index.js";
 
 const descriptionSchema = z.object({
     failureDomain: z.string().max(128),
@@ -13,6 +14,8 @@
     configurationVersion: z.number(),
     /** Its share of the callers next to the others; an instance that gives none counts as 1. */
     weight: z.number().positive().max(1_000_000).optional().catch(undefined),
+    /** Its capacity in cores, if its settings give one. */
+    capacity: z.number().positive().max(1_000_000_000).optional().catch(undefined),
     /** Whether it accepts compressed messages; earlier releases do not. */
     acceptsCompression: z.boolean().optional().catch(undefined),
 });
@@ -33,6 +36,11 @@
     readonly silenceMs: number;
 }
 
+/** Creates the description of an instance that starts. */
+export function createOwnDescription(failureDomain: string, settings: serveSettings.ServeSettings): MemberDescription {
+    return { failureDomain, callerAddress: "", peerAddress: "", operatorAddress: "", state: "starting", configurationVersion: 0, acceptsCompression: true, capacity: serveSettings.computeCapacity(settings) };
+}
+
 /** Parses a published description; undefined if it is missing or malformed. */
 export const parseDescription = cachedParser.createCachedParser(descriptionSchema);
 
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -58,7 +58,7 @@
         this.memberDirectory = new memberDirectory.MemberDirectory({ clock: context.clock, registerTable: this.registerTable, suspectAfterMs: settings.suspectAfterMs });
         this.pendingRequests = new pendingRequests.PendingRequests(context.loop, settings.peerTimeoutMs);
         this.byteCounter = new peerByteCounter.PeerByteCounter({ registry: metrics, failureDomain: identity.failureDomain });
-        this.selfDescription = { failureDomain: identity.failureDomain, callerAddress: "", peerAddress: "", operatorAddress: "", state: "starting", configurationVersion: 0, acceptsCompression: true };
+        this.selfDescription = members.createOwnDescription(identity.failureDomain, settings);
         this.linkManager = new linkManager.LinkManager({
             context,
             countBytes: (direction, bytes, peer, label) => this.byteCounter.recordFrame(direction, bytes, peer?.failureDomain, label),
--- a/src/peers/topology.ts
+++ b/src/peers/topology.ts
@@ -21,6 +21,8 @@
     readonly failureDomain: string;
     /** Whether it is neither draining nor suspect; such an instance is not chosen as relay. */
     readonly isSteady: boolean;
+    /** Its capacity in cores; undefined if it is not known. */
+    readonly capacity?: number | undefined;
 }
 
 /** Options of a topology. */
@@ -35,14 +37,23 @@
     readonly unreachable: ReadonlySet<string>;
 }
 
+/** Hash scores are below this. */
+const scoreRange = 2 ** 32;
+
 const cachedScores = new Map<string, number>();
 
 /**
- * Computes the rank of an instance among the candidates for the relay of a cell; the highest is the relay.
+ * Computes the rank of an instance among the candidates for the relay of a cell; the highest is the relay. An instance of at
+ * least twice the capacity ranks above all smaller ones, since a relay handles the messages of its whole cell.
  * @param cell - The name of the cell.
  * @param instanceId - The candidate.
+ * @param capacity - Its capacity in cores; undefined if it is not known.
  */
-export function computeRelayScore(cell: string, instanceId: string): number {
+export function computeRelayScore(cell: string, instanceId: string, capacity?: number): number {
+    return (capacity === undefined ? 0 : Math.floor(Math.log2(capacity)) * scoreRange) + computeHashScore(cell, instanceId);
+}
+
+function computeHashScore(cell: string, instanceId: string): number {
     const key = `${cell}\0${instanceId}`;
     const cached = cachedScores.get(key);
     if (cached !== undefined) {
@@ -120,7 +131,7 @@
         const { unreachable } = this.options;
         const steady = members.filter(({ isSteady }) => isSteady);
         const ranked = (steady.length > 0 ? steady : members)
-            .map(({ instanceId }) => ({ instanceId, score: computeRelayScore(cell, instanceId) }))
+            .map(({ instanceId, capacity }) => ({ instanceId, score: computeRelayScore(cell, instanceId, capacity) }))
             .sort((a, b) => b.score - a.score)
             .map(({ instanceId }) => instanceId);
         const relays = ranked.filter(id => !unreachable.has(id)).slice(0, relaysPerCell);
@@ -137,5 +148,5 @@
         return failureDomain;
     }
     const cells = Array.from({ length: cellCount }, (_, index) => `${failureDomain}/${index}`);
-    return cells.reduce((best, cell) => computeRelayScore(cell, instanceId) > computeRelayScore(best, instanceId) ? cell : best);
+    return cells.reduce((best, cell) => computeHashScore(cell, instanceId) > computeHashScore(best, instanceId) ? cell : best);
 }
--- a/src/settings/serveSettings.ts
+++ b/src/settings/serveSettings.ts
@@ -75,8 +75,9 @@
     upstreamBodyBytes: createIntegerSchema(0, 1_073_741_824, 0).describe("The most bytes of request bodies that this instance has in flight at one upstream, for services whose configuration gives no limit. 0 for no limit."),
     memoryMb: createDecimalSchema(16_777_216, 0).describe("The memory that the platform gives the process, in MiB; bodies then occupy at most half of what it leaves beside the program. 0 where it is not limited."),
     capacityCores: createDecimalSchema(1_000_000, 0).describe(
-        "The processor time that the platform gives the process, in cores. Callers are then told to use the instances in proportion to their capacity and load. 0 where it is not given.",
+        "The processor time that the platform gives the process, in cores. Callers are then told to use the instances in proportion to their capacity and load, and instances of more capacity relay messages between cells. 0 where it is not given.",
     ),
+    capacityCoreSpeed: createDecimalSchema(1_000, 1).describe("The speed of these cores, as a multiple of that of the fleet's usual ones; 0 counts as not given."),
     capacityLinkMbps: createDecimalSchema(1_000_000_000, 0).describe("The rate of the instance's link, in Mbit/s; 20 count as a core, and the smaller of the two is the capacity. 0 where it is not given."),
     unsizedBodyBytes: createIntegerSchema(1_024, 1_099_511_627_776, 1_073_741_824).describe("The largest response body without a Content-Length, in bytes; a longer one is cut, since an upstream in trouble may send bytes without end."),
     callerConnections: createIntegerSchema(1, 1_000_000, 10_000).describe("The most callers' connections at once."),
--- a/src/upstreamHealth/healthUpdateRelay.ts
+++ b/src/upstreamHealth/healthUpdateRelay.ts
@@ -236,7 +236,7 @@
             return lastSender.peerId;
         }
         const usable = [...linked, ...additional].filter(id => (this.avoidedUntil.get(id) ?? -Infinity) <= now);
-        const scored = usable.map(id => ({ id, score: peers.computeRelayScore(cell, id) }));
+        const scored = usable.map(id => ({ id, score: peers.computeRelayScore(cell, id, this.options.mesh.getMember(id)?.capacity) }));
         return scored.sort((a, b) => b.score - a.score)[0]?.id;
     }
 }
--- a/test/callers/entryWeights.test.ts
+++ b/test/callers/entryWeights.test.ts
@@ -6,6 +6,7 @@
 import tap from "tap";
 import * as entryPoints from "../../src/callers/entryPoints.js";
 import * as entryWeight from "../../src/callers/entryWeight.js";
+import * as settings from "../../src/settings/index.js";
 import * as entryWeightReporter from "../../src/callers/entryWeightReporter.js";
 import * as randomness from "../../src/kernel/randomness.js";
 import type * as peers from "../../src/peers/index.js";
@@ -89,9 +90,10 @@
 
 void tap.test("a slow or full instance gets less, a new one its share at once", async t => {
     const load = { delayMs: 2, inFlight: 5, heldFraction: 0.1 };
-    t.equal(entryWeight.computeCapacity({ capacityCores: 0, capacityLinkMbps: 0 }), undefined);
-    t.equal(entryWeight.computeCapacity({ capacityCores: 1.35, capacityLinkMbps: 7 }), 0.35);
-    t.equal(entryWeight.computeCapacity({ capacityCores: 0.27, capacityLinkMbps: 0 }), 0.27);
+    t.equal(settings.computeCapacity({ capacityCores: 0, capacityCoreSpeed: 1, capacityLinkMbps: 0 }), undefined);
+    t.equal(settings.computeCapacity({ capacityCores: 0.675, capacityCoreSpeed: 2, capacityLinkMbps: 7 }), 0.35);
+    t.equal(settings.computeCapacity({ capacityCores: 0.27, capacityCoreSpeed: 1, capacityLinkMbps: 0 }), 0.27);
+    t.equal(settings.computeCapacity({ capacityCores: 0.675, capacityCoreSpeed: 2, capacityLinkMbps: 140 }), 1.35);
     t.equal(entryWeight.computeWeight(1, load, undefined), 1);
     t.equal(entryWeight.computeWeight(1, { ...load, delayMs: 80 }, 1), 0.25, "slow");
     t.equal(entryWeight.computeWeight(1, { ...load, inFlight: 200 }, 1), 0.5, "many requests in flight");
@@ -110,7 +112,13 @@
         const time = new virtualTime.VirtualTime();
         const published: unknown[] = [];
         const reporter = new entryWeightReporter.EntryWeightReporter({
-            context: { clock: { getNow: () => time.now }, loop: time, settings: { capacityCores, capacityLinkMbps: 0, memoryMb: 0, bodyBytesHeld: 100 }, heldBytes: { getBytes: () => 0 }, logger: { writeInfo: () => {} } } as never,
+            context: {
+                clock: { getNow: () => time.now },
+                loop: time,
+                settings: { capacityCores, capacityCoreSpeed: 1, capacityLinkMbps: 0, memoryMb: 0, bodyBytesHeld: 100 },
+                heldBytes: { getBytes: () => 0 },
+                logger: { writeInfo: () => {} },
+            } as never,
             mesh: { setMember: change => void published.push(change.weight) },
             countInFlight,
         });
--- a/test/harness/healthInstance.ts
+++ b/test/harness/healthInstance.ts
@@ -40,7 +40,7 @@
         {
             context,
             pool: upstreamPool,
-            mesh: { setNoticeHandler: () => {}, addDisconnectListener: () => {}, listLinkedPeersByCell: () => new Map(), getCell: () => "north", hasCells: () => false, sendNotices: () => 0 },
+            mesh: { setNoticeHandler: () => {}, addDisconnectListener: () => {}, listLinkedPeersByCell: () => new Map(), getCell: () => "north", getMember: () => undefined, hasCells: () => false, sendNotices: () => 0 },
             configuration: { addListener: (listener: (current: object) => void) => listener({ document }) },
         } as unknown as ConstructorParameters<typeof upstreamHealth.UpstreamHealth>[0],
     );
--- a/test/peers/topology.test.ts
+++ b/test/peers/topology.test.ts
@@ -50,6 +50,27 @@
     }
 });
 
+// Guards against a relay that is short of processor time or link rate beside larger instances: the messages of its cell then
+// wait, and its members do not get a new configuration in time.
+void tap.test("the largest instances of a cell are its relays", async t => {
+    const members = createMembers(130).map((member, index) => ({ ...member, capacity: index < 15 ? 1.35 : 0.27 }));
+    const created = createTopology(members);
+    const cells = new Map<string, topology.TopologyMember[]>();
+    members.forEach(member => cells.set(created.getCell(member.instanceId)!, [...cells.get(created.getCell(member.instanceId)!) ?? [], member]));
+    for (const [cell, cellMembers] of cells) {
+        const relays = cellMembers.filter(({ instanceId }) => created.isRelay(instanceId));
+        const largest = Math.min(2, cellMembers.filter(({ capacity }) => capacity! > 1).length);
+        t.equal(relays.length, 2, `${cell}: two relays`);
+        t.equal(relays.filter(({ capacity }) => capacity! > 1).length, largest, `${cell}: ${largest} of them are large`);
+    }
+    const unknown = createMembers(130).map(member => ({ ...member, capacity: 1.35 }));
+    t.strictSame(
+        unknown.filter(({ instanceId }) => createTopology(unknown).isRelay(instanceId)).map(({ instanceId }) => instanceId),
+        createMembers(130).filter(({ instanceId }) => createTopology(createMembers(130)).isRelay(instanceId)).map(({ instanceId }) => instanceId),
+        "equal instances are chosen as without a capacity",
+    );
+});
+
 void tap.test("whatever instances are lost, the others are connected", async t => {
     const loss = fc.record({ count: fc.integer({ min: 22, max: 200 }), lost: fc.array(fc.nat(199), { maxLength: 150 }), unsteady: fc.array(fc.nat(199), { maxLength: 20 }) });
     fc.assert(
--- a/test/upstreamHealth/healthUpdateRelay.test.ts
+++ b/test/upstreamHealth/healthUpdateRelay.test.ts
@@ -64,6 +64,7 @@
                     return new Map(domains.map(linkedDomain => [linkedDomain, linked.filter(other => other.domain === linkedDomain).map(other => other.id)] as const).filter(([, peerIds]) => peerIds.length > 0));
                 },
                 getCell: (peerId: string) => nodes.find(other => other.id === peerId)?.domain,
+                getMember: () => undefined,
                 sendNotices: send,
             },
             applyUpdates: (updates: readonly healthUpdateBuffer.HealthUpdate[]) => {
