Give no part of a quota to instances that join or drain while others are missing

An instance that joined on one side of a cut had a part that the other side did not know of.

Change: an instance that drains delegates nothing and is not counted. One that joins counts when no remembered member is missing; messages tell it whether it does.

--- a/src/quotas/delegationTable.ts
+++ b/src/quotas/delegationTable.ts
@@ -49,7 +49,11 @@
 
     /** Returns the number of instances among which the limits are divided. */
     getMemberCount(): number {
-        return Math.max(this.memberCount, this.delegations.size);
+        let delegatingCount = 0;
+        for (const { shards } of this.delegations.values()) {
+            delegatingCount += shards === 0 ? 0 : 1;
+        }
+        return Math.max(this.memberCount, delegatingCount);
     }
 
     /** Applies a change unless a later one of the same instance was applied. Returns whether it was applied. */
--- a/src/quotas/knownMembers.ts
+++ b/src/quotas/knownMembers.ts
@@ -5,7 +5,7 @@
  * partition that lasts longer than this doubles limits, and an instance that was killed costs its part for this time.
  */
 const rememberedMs = 600_000;
-/** More members than any fleet has; the oldest are forgotten first. */
+/** More members than any fleet has. */
 const maximumMembers = 10_000;
 
 /** A member as its own description and its heartbeats show it. */
@@ -14,38 +14,46 @@
     readonly state: "starting" | "running" | "draining" | "suspect";
 }
 
-interface KnownMember {
-    readonly seenAt: number;
-    /** Whether it drained when it was last seen; it then ends by itself and is not missed. */
-    readonly isDraining: boolean;
-}
-
-/** Remembers members beyond the time in which the mesh forgets them. */
+/**
+ * Remembers members beyond the time in which the mesh forgets them.
+ * @remarks While a remembered member is silent, it may be on the other side of a cut, which does not know those that join on this
+ * side. So they get no part of the limits until nobody is missing. Members that drain have no part, and are not missed.
+ */
 export class KnownMembers {
-    private readonly members = new Map<string, KnownMember>();
+    private readonly seenAt = new Map<string, number>();
 
     /**
      * Records the members that are listed now.
      * @param listed - All members, this instance included.
      */
     setListed(listed: readonly ListedMember[], now: number): void {
-        const present = listed.filter(({ state }) => state !== "suspect");
-        const presentIds = new Set(present.map(({ instanceId }) => instanceId));
-        for (const [instanceId, { seenAt, isDraining }] of this.members) {
-            if (!presentIds.has(instanceId) && (isDraining || now - seenAt > rememberedMs)) {
-                this.members.delete(instanceId);
+        listed.filter(({ state }) => state === "draining").forEach(({ instanceId }) => this.seenAt.delete(instanceId));
+        const present = new Set(listed.filter(({ state }) => state === "starting" || state === "running").map(({ instanceId }) => instanceId));
+        let isAnyMissing = false;
+        for (const [instanceId, seenAt] of this.seenAt) {
+            if (present.has(instanceId)) {
+                this.seenAt.set(instanceId, now);
+            }
+            else if (now - seenAt > rememberedMs) {
+                this.seenAt.delete(instanceId);
+            }
+            else {
+                isAnyMissing = true;
             }
         }
-        for (const { instanceId, state } of present) {
-            this.members.delete(instanceId);
-            this.members.set(instanceId, { seenAt: now, isDraining: state === "draining" });
+        if (!isAnyMissing) {
+            [...present].slice(0, maximumMembers).forEach(instanceId => this.seenAt.set(instanceId, now));
         }
-        [...this.members.keys()].slice(0, Math.max(0, this.members.size - maximumMembers)).forEach(id => this.members.delete(id));
     }
 
-    /** Returns the number of members that may be running. */
+    /** Returns whether a member has a part of the limits. */
+    hasMember(instanceId: string): boolean {
+        return this.seenAt.has(instanceId);
+    }
+
+    /** Returns the number of members that have a part of the limits. */
     countMembers(): number {
-        return this.members.size;
+        return this.seenAt.size;
     }
 }
 
--- a/src/quotas/ownerDirectory.ts
+++ b/src/quotas/ownerDirectory.ts
@@ -37,6 +37,7 @@
     private candidates: readonly string[] = [];
     private owners: readonly string[];
     private readonly delegatesFrom: number;
+    private hasPart = true;
 
     constructor(private readonly options: CreateOwnerDirectoryOptions) {
         this.owners = Array.from({ length: quotaLimits.shardCount }, () => options.selfId);
@@ -56,6 +57,11 @@
         return this.chooseOwners();
     }
 
+    /** Sets whether this instance has a part of the limits that it may delegate. */
+    setHasPart(hasPart: boolean): void {
+        this.hasPart = hasPart;
+    }
+
     /** Returns the owner of a shard; this instance itself if no other can be reached. */
     getOwner(shard: number): string {
         return this.owners[shard]!;
@@ -81,7 +87,7 @@
         const contact = this.getContact(ownerId);
         contact.lastAskAt = now;
         const until = ownerId === this.options.selfId ? now + quotaLimits.delegationLifetimeMs : contact.stampReceivedAt + quotaLimits.delegationLifetimeMs;
-        if (until <= now || now < this.delegatesFrom) {
+        if (until <= now || now < this.delegatesFrom || !this.hasPart) {
             return { shards: 0, stamp: until <= now ? undefined : contact.stamp };
         }
         let shards = 0;
--- a/src/quotas/quotaMessages.ts
+++ b/src/quotas/quotaMessages.ts
@@ -26,8 +26,9 @@
     identifierSchema,
     counterSchema,
     counterSchema,
-    /** The number of members that may be running, as far as it knows. */
+    /** The number of members that have a part of the limits, as far as it knows, and whether the owner is one of them. */
     z.number().int().min(1).max(1_000_000),
+    z.boolean(),
     /** The shards that it delegates to the owner, one bit each. */
     z.number().int().min(0).max(2 ** quotaLimits.shardCount - 1),
     /** The incarnation and time of the owner's last reply; empty before the first. */
@@ -40,7 +41,9 @@
     /** The owner's incarnation and time. */
     counterSchema,
     timeSchema,
+    /** The number of members that have a part of the limits, as far as it knows, and whether the asking instance is one of them. */
     z.number().int().min(1).max(1_000_000),
+    z.boolean(),
     /** By workspace: its key, the tokens granted, after how many milliseconds there will be one, and the requests per second of the limit that the owner knows. */
     z.array(z.tuple([keySchema, tokensSchema, z.number().min(0).max(3_600_000), z.number().positive().max(1_000_000_000)])).max(maximumWants),
 ]);
@@ -52,6 +55,8 @@
     readonly incarnation: number;
     readonly sequence: number;
     readonly memberCount: number;
+    /** Whether the receiver has a part of the limits, as far as the sender knows. */
+    readonly isMember: boolean;
     readonly shards: number;
     readonly stamp: Stamp | undefined;
     readonly wants: readonly Want[];
@@ -78,6 +83,8 @@
 export interface Reply {
     readonly stamp: Stamp;
     readonly memberCount: number;
+    /** Whether the receiver has a part of the limits, as far as the sender knows. */
+    readonly isMember: boolean;
     readonly grants: readonly WorkspaceGrant[];
 }
 
@@ -94,8 +101,8 @@
 const parseReplyTuple = cachedParser.createCachedParser(replySchema);
 
 /** Encodes a request for tokens as plain data. */
-export function encodeAsk({ ownerId, instanceId, incarnation, sequence, memberCount, shards, stamp, wants }: Ask): z.infer<typeof askSchema> {
-    return [ownerId, instanceId, incarnation, sequence, memberCount, shards, stamp === undefined ? [] : [stamp.incarnation, stamp.time], wants.map(({ key, needed, ahead, returned }) => [key, needed, ahead, returned])];
+export function encodeAsk({ ownerId, instanceId, incarnation, sequence, memberCount, isMember, shards, stamp, wants }: Ask): z.infer<typeof askSchema> {
+    return [ownerId, instanceId, incarnation, sequence, memberCount, isMember, shards, stamp === undefined ? [] : [stamp.incarnation, stamp.time], wants.map(({ key, needed, ahead, returned }) => [key, needed, ahead, returned])];
 }
 
 /** Decodes a request for tokens; undefined if it is malformed. */
@@ -104,14 +111,14 @@
     if (tuple === undefined) {
         return undefined;
     }
-    const [ownerId, instanceId, incarnation, sequence, memberCount, shards, [stampIncarnation, time], wants] = tuple;
+    const [ownerId, instanceId, incarnation, sequence, memberCount, isMember, shards, [stampIncarnation, time], wants] = tuple;
     const stamp = stampIncarnation === undefined || time === undefined ? undefined : { incarnation: stampIncarnation, time };
-    return { ownerId, instanceId, incarnation, sequence, memberCount, shards, stamp, wants: wants.map(([key, needed, ahead, returned]) => ({ key, needed, ahead, returned })) };
+    return { ownerId, instanceId, incarnation, sequence, memberCount, isMember, shards, stamp, wants: wants.map(([key, needed, ahead, returned]) => ({ key, needed, ahead, returned })) };
 }
 
 /** Encodes a reply as plain data. */
-export function encodeReply({ stamp, memberCount, grants }: Reply): z.infer<typeof replySchema> {
-    return [stamp.incarnation, stamp.time, memberCount, grants.map(({ key, tokens, retryAfterMs, requestsPerSecond }) => [key, tokens, retryAfterMs, requestsPerSecond])];
+export function encodeReply({ stamp, memberCount, isMember, grants }: Reply): z.infer<typeof replySchema> {
+    return [stamp.incarnation, stamp.time, memberCount, isMember, grants.map(({ key, tokens, retryAfterMs, requestsPerSecond }) => [key, tokens, retryAfterMs, requestsPerSecond])];
 }
 
 /** Decodes a reply; undefined if it is malformed. */
@@ -120,6 +127,6 @@
     if (tuple === undefined) {
         return undefined;
     }
-    const [incarnation, time, memberCount, grants] = tuple;
-    return { stamp: { incarnation, time }, memberCount, grants: grants.map(([key, tokens, retryAfterMs, requestsPerSecond]) => ({ key, tokens, retryAfterMs, requestsPerSecond })) };
+    const [incarnation, time, memberCount, isMember, grants] = tuple;
+    return { stamp: { incarnation, time }, memberCount, isMember, grants: grants.map(([key, tokens, retryAfterMs, requestsPerSecond]) => ({ key, tokens, retryAfterMs, requestsPerSecond })) };
 }
--- a/src/quotas/quotaNode.ts
+++ b/src/quotas/quotaNode.ts
@@ -56,6 +56,8 @@
     private readonly demands = new Map<number, workspaceDemand.WorkspaceDemand>();
     private limits = new Map<number, quotaLimits.QuotaLimit>();
     private ownCount = 1;
+    /** Whether others last said that this instance has a part of the limits. */
+    private isMember = true;
     private sequence = 0;
     /** Owners for which a message is scheduled. */
     private readonly scheduledOwners = new Set<string>();
@@ -106,6 +108,9 @@
     runTick(view: FleetView): void {
         const now = this.options.getNow();
         this.known.setListed(view.members, now);
+        const { selfId } = this.options;
+        const isDraining = view.members.some(({ instanceId, state }) => instanceId === selfId && state === "draining");
+        this.directory.setHasPart(this.isMember && !isDraining);
         this.ownCount = Math.max(1, this.known.countMembers(), view.expectedCount);
         this.owner.setMemberCount(Math.max(this.ownCount, this.heard.getHighest(now)), now);
         this.setCandidates(view.candidates);
@@ -126,8 +131,9 @@
     /** Answers another instance's request for tokens. */
     receiveAsk(ask: quotaMessages.Ask): quotaMessages.Reply {
         const now = this.options.getNow();
-        this.heard.addCount(ask.memberCount, now);
-        return { ...this.owner.receiveAsk(ask, now), memberCount: this.ownCount };
+        this.recordPeer(ask, now);
+        const isMember = this.known.hasMember(ask.instanceId);
+        return { ...this.owner.receiveAsk({ ...ask, shards: isMember ? ask.shards : 0 }, now), memberCount: this.ownCount, isMember };
     }
 
     /** Returns the state for the dump: owners, and the part of the limits of each shard that this instance grants. */
@@ -216,7 +222,7 @@
             wants.forEach(({ key }) => this.scheduleNextAsk(this.demands.get(key), getNow()));
         };
         const cancelTimer = timers.scheduleOnce(replyTimeoutMs, fail);
-        this.options.sendAsk({ ownerId, instanceId: selfId, incarnation, sequence, memberCount: this.ownCount, shards, stamp, wants }, reply => {
+        this.options.sendAsk({ ownerId, instanceId: selfId, incarnation, sequence, memberCount: this.ownCount, isMember: this.known.hasMember(ownerId), shards, stamp, wants }, reply => {
             if (reply === undefined) {
                 if (isPending) {
                     fail();
@@ -226,7 +232,7 @@
             // A reply that comes after its time still brings a stamp, and tokens if they have not expired.
             finish();
             const now = getNow();
-            this.heard.addCount(reply.memberCount, now);
+            this.recordPeer(reply, now);
             if (this.directory.recordReply(ownerId, sequence, reply.stamp, now)) {
                 this.handleOwnerChange();
             }
@@ -251,6 +257,11 @@
         }
     }
 
+    private recordPeer({ memberCount, isMember }: Pick<quotaMessages.Ask, "memberCount" | "isMember">, now: number): void {
+        this.heard.addCount(memberCount, now);
+        this.isMember = isMember;
+    }
+
     private recordAskEnd(wants: readonly quotaMessages.Want[]): void {
         wants.forEach(({ key, needed, ahead }) => this.demands.get(key)?.recordAskEnd(needed + ahead));
     }
--- a/src/quotas/quotaOwner.ts
+++ b/src/quotas/quotaOwner.ts
@@ -69,15 +69,15 @@
         this.delegations.applyChange(change, now);
     }
 
-    /** Answers a request for tokens. */
-    receiveAsk(ask: quotaMessages.Ask, now: number): quotaMessages.Reply {
+    /** Answers a request for tokens with the time and the grants. */
+    receiveAsk(ask: Pick<quotaMessages.Ask, "instanceId" | "incarnation" | "sequence" | "shards" | "stamp" | "wants">, now: number): Pick<quotaMessages.Reply, "stamp" | "grants"> {
         const { stamp } = ask;
         // Without a stamp of this process that it has given itself, the message may have waited for any time.
         const isStampValid = stamp !== undefined && stamp.incarnation === this.options.incarnation && stamp.time <= now;
         this.delegations.applyChange({ instanceId: ask.instanceId, incarnation: ask.incarnation, sequence: ask.sequence, shards: ask.shards, until: isStampValid ? stamp.time + quotaLimits.delegationLifetimeMs : -Infinity }, now);
         const grants = ask.wants.flatMap(want => this.takeTokens(want, now) ?? []);
         // Whole milliseconds take half of the bytes, and an earlier stamp ends delegations earlier.
-        return { stamp: { incarnation: this.options.incarnation, time: Math.floor(now) }, memberCount: this.delegations.getMemberCount(), grants };
+        return { stamp: { incarnation: this.options.incarnation, time: Math.floor(now) }, grants };
     }
 
     /** Takes tokens of one workspace; undefined if it has no limit here. */
