Count the addresses that a starting instance knows as members of its fleet

Change: in the first minute each known peer address counts as a member among which limits are divided. The mesh tells the number of addresses instead of whether there are any.

--- a/src/peers/linkManager.ts
+++ b/src/peers/linkManager.ts
@@ -146,9 +146,9 @@
         return peerLink?.isOpen() === true ? peerLink : undefined;
     }
 
-    /** Returns whether a seed is known that is not the own address. */
-    hasPeerAddresses(): boolean {
-        return [...this.options.context.settings.seeds, ...this.discoveredSeeds].some(seed => !this.ownAddresses.has(seed));
+    /** Returns the number of known seeds that are not the own address. */
+    countPeerAddresses(): number {
+        return [...new Set([...this.options.context.settings.seeds, ...this.discoveredSeeds])].filter(seed => !this.ownAddresses.has(seed)).length;
     }
 
     /** Lists the identifiers of the peers with an open link. */
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -109,8 +109,8 @@
         return this.memberDirectory.listMembers();
     }
 
-    /** Returns whether an address is known at which another instance may be reached. */
-    readonly hasPeerAddresses = () => this.linkManager.hasPeerAddresses();
+    /** Returns the number of known addresses at which other instances may be reached. */
+    readonly countPeerAddresses = () => this.linkManager.countPeerAddresses();
 
     /** Returns the number of known members, this instance included. */
     countMembers(): number {
--- a/src/pool/leavingUpstreams.ts
+++ b/src/pool/leavingUpstreams.ts
@@ -63,7 +63,7 @@
     async waitUntilMarksRead(): Promise<void> {
         const { mesh, context: { clock, loop } } = this.options;
         const startedAt = clock.getNow();
-        const getLimitMs = () => mesh.hasPeerAddresses() ? marksWaitMs : peerSearchMs;
+        const getLimitMs = () => mesh.countPeerAddresses() > 0 ? marksWaitMs : peerSearchMs;
         while (!this.haveMarksBeenRead && clock.getNow() - startedAt < getLimitMs()) {
             await new Promise<void>(resolve => loop.scheduleOnce(readIntervalMs, resolve));
         }
--- a/src/quotas/quotaNode.ts
+++ b/src/quotas/quotaNode.ts
@@ -43,7 +43,7 @@
     readonly members: readonly knownMembers.ListedMember[];
     /** Instances that may own limits and can be reached, and this instance if others can reach it. */
     readonly candidates: readonly string[];
-    /** Members that are expected although they are not known, such as the addresses that the store lists to a starting instance. */
+    /** Members that are expected although they are not known, such as those whose addresses a starting instance knows. */
     readonly expectedCount: number;
 }
 
--- a/src/quotas/quotaService.ts
+++ b/src/quotas/quotaService.ts
@@ -18,6 +18,8 @@
 const relayPauseMs = 2_000;
 /** After how long without any link an instance takes itself to be alone, although it knows addresses of others, in milliseconds. */
 const aloneAfterMs = 600_000;
+/** For how long after the start each known address counts as a member, in milliseconds: others that started at the same time may be behind a cut. */
+const addressesCountMs = 60_000;
 /** The size of a fleet of which only addresses are known. Larger than that of most fleets, so that the part that an unlinked instance uses is a safe one. */
 const assumedFleetSize = 50;
 /** Malformed messages are logged once in this time, in milliseconds. */
@@ -135,11 +137,20 @@
         const { mesh } = this.options;
         const now = this.getNow();
         this.hasBeenLinked ||= mesh.listLinkedPeers().length > 0;
-        const isUnlinked = !this.hasBeenLinked && mesh.hasPeerAddresses() && now - this.startedAt < aloneAfterMs;
-        this.node.runTick({ members: mesh.listMembers(), candidates: this.listCandidates(), expectedCount: isUnlinked ? assumedFleetSize : 1 });
+        this.node.runTick({ members: mesh.listMembers(), candidates: this.listCandidates(), expectedCount: this.countExpected(now) });
         this.metrics.writeRefusals(now);
     }
 
+    /** Returns the number of members that an instance assumes which has not heard of others for long, by the addresses that it knows. */
+    private countExpected(now: number): number {
+        const addresses = this.options.mesh.countPeerAddresses();
+        const ageMs = now - this.startedAt;
+        if (!this.hasBeenLinked && addresses > 0 && ageMs < aloneAfterMs) {
+            return Math.max(assumedFleetSize, addresses + 1);
+        }
+        return ageMs < addressesCountMs ? addresses + 1 : 1;
+    }
+
     /** Lists the instances that may own quotas: in cells the relays, otherwise all that run. Those without a way to them are left out. */
     private listCandidates(): readonly string[] {
         const { mesh, context: { identity } } = this.options;
--- a/test/quotas/quotaService.test.ts
+++ b/test/quotas/quotaService.test.ts
@@ -30,7 +30,7 @@
             setHandler: (_topic: string, added: typeof handler) => handler = added,
             listLinkedPeers: () => [],
             listRelayPeers: () => [],
-            hasPeerAddresses: () => false,
+            countPeerAddresses: () => 0,
             hasCells: () => false,
             isCellRelay: () => false,
             listMembers: () => [{ instanceId: "self", state: "running" }],
--- a/test/quotas/virtualFleet.ts
+++ b/test/quotas/virtualFleet.ts
@@ -28,6 +28,8 @@
     readonly heard: Map<string, number>;
     limits: readonly quotaLimits.QuotaLimit[];
     pausedRelay: string;
+    /** Members that the instance expects by the addresses that it knew at its start. */
+    expectedCount: number;
     view: topology.Topology;
 }
 
@@ -163,6 +165,7 @@
     private startNode(instance: VirtualInstance): void {
         instance.incarnation += 1;
         instance.heard.set(instance.id, this.time.now);
+        instance.expectedCount = Math.max(this.options.count, this.instances.length);
         instance.node = new quotaNode.QuotaNode({
             selfId: instance.id,
             incarnation: instance.incarnation,
@@ -224,9 +227,9 @@
         }));
         instance.view = this.getTopology(members);
         const candidates = members.filter(({ instanceId, state }) => state === "running" && (!this.options.hasCells || instance.view.isRelay(instanceId))).map(({ instanceId }) => instanceId);
-        // All but the only instance of a fleet know addresses of others from their start.
-        const isUnlinked = members.length === 1 && (this.options.count > 1 || instance !== this.instances[0]);
-        instance.node.runTick({ members: members satisfies readonly knownMembers.ListedMember[], candidates, expectedCount: isUnlinked ? 50 : 1 });
+        // Instances know the addresses of those that run when they start; the first of a fleet of one knows none.
+        const isUnlinked = members.length === 1 && instance.expectedCount > 1;
+        instance.node.runTick({ members: members satisfies readonly knownMembers.ListedMember[], candidates, expectedCount: isUnlinked ? 50 : instance.expectedCount });
     }
 
     private getTopology(members: readonly (knownMembers.ListedMember & { readonly failureDomain: string; })[]): topology.Topology {
