--- a/src/requests/retryLending.ts
+++ b/src/requests/retryLending.ts
@@ -160,7 +160,7 @@
         .with("equal", () => () => mesh.countMembers())
         .with("demand", () => () => {
             const count = peak.recordCount(mesh.countMembers(), clock.getNow());
-            return count <= 1 && mesh.hasPeerAddresses() ? Infinity : count;
+            return count <= 1 && mesh.countPeerAddresses() > 0 ? Infinity : count;
         })
         .exhaustive();
 }
