--- a/test/settings/platformValues.test.ts
+++ b/test/settings/platformValues.test.ts
@@ -36,6 +36,9 @@
     "bounds.retrySlack": optional(decimal(1e7)),
     "bounds.graceS": optional(decimal(3_600)),
     "limits.memoryMb": optional(decimal(1_048_576)),
+    "limits.cpuShare": optional(decimal(1_000)),
+    "limits.cpuCores": optional(decimal(1_000)),
+    "limits.linkMbps": optional(decimal(1_000_000)),
 });
 
 void tap.test("every value that the platform may fill in is accepted", async t => {
