Send one digest a second to each other failure domain when links open

While a fleet starts, each instance opens links to many instances of other domains and sent a digest of all known instances on each, and so did the other end. Between domains only the instance with the smaller identifier now sends one on a new link, at most one a second to each domain; other links get a summary a second later, which is answered with a digest if the registers still differ.

--- a/scripts/emulate.ts
+++ b/scripts/emulate.ts
@@ -84,9 +84,11 @@
     const otherDomainRate = computeRate(/agatebend_peer_bytes_total\{direction="sent",domain="other"[^}]*\} (\S+)/g);
     const messages = [...new Set(texts.flatMap(text => [...text.matchAll(/agatebend_peer_bytes_total\{direction="sent",domain="other",message="([^"]+)"\}/g)]).map(found => found[1]!))];
     const messageRates = messages.map(message => [message, computeRate(new RegExp(`agatebend_peer_bytes_total\\{direction="sent",domain="other",message="${message}"\\} (\\S+)`, "g"))] as const).sort((a, b) => b[1] - a[1]);
+    const storeRates = texts.map(text => [...text.matchAll(/^agatebend_store_calls_total\{[^}]*\} (\S+)/gm)].reduce((sum, found) => sum + Number(found[1]), 0) / seconds).sort((a, b) => b - a);
     const cpuUsage = computeRate(/^agatebend_process_cpu_seconds_total (\d\S*)/gm);
     process.stdout.write(
         `each instance: ${(sameDomainRate / 1_000).toFixed(2)} KB/s to peers in its failure domain, ${(otherDomainRate / 1_000).toFixed(2)} KB/s to other peers, ${(100 * cpuUsage).toFixed(1)} % of a core, including startup\n`
+            + `store calls a second, by instance: ${storeRates.map(rate => rate.toFixed(2)).join(" ")}\n`
             + `to other peers, in bytes a second: ${messageRates.map(([message, rate]) => `${message} ${Math.round(rate)}`).join(", ")}\n`,
     );
 }
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -5,6 +5,7 @@
 import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import * as serviceRegistry from "../kernel/serviceRegistry.js";
+import * as digestExchange from "./digestExchange.js";
 import * as linkManager from "./linkManager.js";
 import * as fleetTopology from "./fleetTopology.js";
 import * as gossipRelay from "./gossipRelay.js";
@@ -45,6 +46,7 @@
     private selfDescription: members.MemberDescription;
     private readonly gossipRounds: gossipRounds.GossipRounds;
     private readonly gossipRelay: gossipRelay.GossipRelay;
+    private readonly digestExchange: digestExchange.DigestExchange;
     private readonly fleetTopology: fleetTopology.FleetTopology;
 
     constructor(private readonly context: context.Context) {
@@ -55,6 +57,7 @@
             deadAfterMs: settings.deadAfterMs,
             maximumHeartbeatLag: Math.max(usualHeartbeatLag, settings.suspectAfterMs / settings.gossipIntervalMs * suspicionLagFraction),
         });
+        this.digestExchange = new digestExchange.DigestExchange({ context, registerTable: this.registerTable });
         this.memberDirectory = new memberDirectory.MemberDirectory({ clock: context.clock, registerTable: this.registerTable, suspectAfterMs: settings.suspectAfterMs });
         this.pendingRequests = new pendingRequests.PendingRequests(context.loop, settings.peerTimeoutMs);
         this.byteCounter = new peerByteCounter.PeerByteCounter({ registry: metrics, failureDomain: identity.failureDomain });
@@ -253,7 +256,7 @@
     }
 
     private handleLinkOpen(peerLink: link.PeerLink): void {
-        peerLink.sendMessage({ type: "digest", entries: [...this.registerTable.getDigest()], isReply: false });
+        this.digestExchange.handleLinkOpen(peerLink);
         this.context.logger.writeInfo("peer-linked", `opened a link to peer ${peerLink.getPeer()?.instanceId}`, { peer: peerLink.getPeer()?.instanceId });
     }
 
@@ -271,7 +274,7 @@
         match(message)
             .with({ type: "heartbeat" }, ({ incarnation, heartbeat }) => this.recordHeartbeat([peer.instanceId, incarnation, heartbeat], now))
             .with({ type: "heartbeats" }, ({ entries }) => entries.forEach(entry => this.recordHeartbeat(entry, now)))
-            .with({ type: "summary" }, ({ hash }) => this.receiveSummary(peerLink, hash))
+            .with({ type: "summary" }, ({ hash }) => this.digestExchange.receiveSummary(peerLink, hash))
             .with({ type: "registers" }, ({ registers: received }) => received.forEach(register => this.mergeRegister(register, now)))
             .with({ type: "digest" }, ({ entries, isReply }) => this.receiveDigest(peerLink, entries, isReply, now))
             .with({ type: "notice" }, ({ topic, body }) => this.noticeHandlers.get(topic)?.(peer.instanceId, body))
@@ -288,12 +291,6 @@
         }
     }
 
-    private receiveSummary(peerLink: link.PeerLink, hash: number): void {
-        if (hash !== this.registerTable.getSummary()) {
-            peerLink.sendMessage({ type: "digest", entries: [...this.registerTable.getDigest()], isReply: false });
-        }
-    }
-
     private receiveDigest(peerLink: link.PeerLink, entries: readonly wire.DigestEntry[], isReply: boolean, now: number): void {
         const { missingAtPeer, isLocalBehind, isPeerLagging } = this.registerTable.mergeDigest(entries, now);
         if (missingAtPeer.length > 0) {
--- a/test/peers/peerTraffic.test.ts
+++ b/test/peers/peerTraffic.test.ts
@@ -29,6 +29,8 @@
 const measuredMs = 5_000;
 /** A quarter of the limit; the rest is left to messages that only a running program sends. */
 const maximumBytesPerSecond = 500;
+/** Above this, each instance sends digests of the whole fleet on all of its first links. */
+const maximumStartBytes = 25_000;
 
 interface TestInstance {
     readonly id: string;
@@ -104,13 +106,19 @@
         }
         const instances = addresses.map((address, index) => createInstance(index, address, addresses.slice(0, 3)));
         t.teardown(() => Promise.all(instances.map(instance => instance.stop())));
+        const beganAt = performance.now();
         await Promise.all(instances.map(instance => instance.start()));
         await processes.waitFor("all members are known everywhere", () => instances.every(instance => instance.mesh.listMembers().length === instanceCount), 60_000);
+        const knownMs = performance.now() - beganAt;
         await new Promise(resolve => setTimeout(resolve, warmUpMs));
         const [before, startedAt, processorBefore] = [await readBytes(instances), performance.now(), process.cpuUsage()];
         await new Promise(resolve => setTimeout(resolve, measuredMs));
         const [after, seconds, processor] = [await readBytes(instances), (performance.now() - startedAt) / 1_000, process.cpuUsage(processorBefore)];
         const rates = [...after].map(([label, bytes]) => [label, (bytes - (before.get(label) ?? 0)) / seconds / instanceCount] as const).filter(([, rate]) => rate > 0).sort((a, b) => b[1] - a[1]);
+        const startBytes = [...before].map(([label, bytes]) => [label, bytes / instanceCount] as const).sort((a, b) => b[1] - a[1]);
+        t.comment(`all known after ${Math.round(knownMs)} ms; until ${warmUpMs} ms later, bytes of each instance: ${startBytes.map(([label, bytes]) => `${label} ${Math.round(bytes)}`).join(", ")}`);
+        const startTotal = startBytes.reduce((sum, [, bytes]) => sum + bytes, 0);
+        t.ok(startTotal < maximumStartBytes, `${Math.round(startTotal)} bytes of each instance to other failure domains while the fleet starts`);
         const total = rates.reduce((sum, [, rate]) => sum + rate, 0);
         t.comment(`${rates.map(([label, rate]) => `${label} ${Math.round(rate)}`).join(", ")}; processor ${((processor.user + processor.system) / 10_000 / seconds).toFixed(0)} % of a core`);
         t.ok(total < maximumBytesPerSecond, `${Math.round(total)} bytes a second from each instance to other failure domains`);
