--- a/scripts/emulate.ts
+++ b/scripts/emulate.ts
@@ -42,6 +42,7 @@
     const stateTimers = testPlatform.workers.map(worker => setInterval(() => void worker.setBehaviour({ failPart: Math.random() < failing ? 0.9 : 0.012 }), stateIntervalMs * (0.5 + Math.random())));
     const tallies = new Map<string, Tally>();
     const pending: Promise<void>[] = [];
+    const callsBefore = await readStoreCalls(testPlatform);
     const endsAt = performance.now() + seconds * 1_000;
     while (performance.now() < endsAt) {
         const isOrder = Math.random() < 0.6;
@@ -51,6 +52,8 @@
     await Promise.all(pending);
     stateTimers.forEach(clearInterval);
     printTallies(tallies);
+    const calls = [...await readStoreCalls(testPlatform)].map(([name, count]) => `${name} ${((count - (callsBefore.get(name) ?? 0)) / seconds / instances.length).toFixed(3)}`);
+    process.stdout.write(`store calls a second of each instance, pending watches included, without startup: ${calls.join(", ")}\n`);
     await printTraffic(instances);
     if (values.failures) {
         process.stdout.write(`${JSON.stringify(await failedRequests.createFailedRequests(testPlatform, instances[0]!))}\n`);
@@ -62,6 +65,11 @@
     await testPlatform.stop();
 }
 
+/** Reads how often the store was called, by path. */
+async function readStoreCalls(testPlatform: platform.TestPlatform): Promise<ReadonlyMap<string, number>> {
+    return new Map(Object.entries((await testPlatform.store.getState<{ readonly calls: Readonly<Record<string, number>>; }>()).calls));
+}
+
 async function sendOne(instance: platform.PlatformInstance, isOrder: boolean, tallies: Map<string, Tally>): Promise<void> {
     const route = isOrder ? "order" : "look";
     const tally = tallies.get(route) ?? { served: 0, refused: 0, failed: 0, latenciesMs: [] };
@@ -84,11 +92,9 @@
     const otherDomainRate = computeRate(/agatebend_peer_bytes_total\{direction="sent",domain="other"[^}]*\} (\S+)/g);
     const messages = [...new Set(texts.flatMap(text => [...text.matchAll(/agatebend_peer_bytes_total\{direction="sent",domain="other",message="([^"]+)"\}/g)]).map(found => found[1]!))];
     const messageRates = messages.map(message => [message, computeRate(new RegExp(`agatebend_peer_bytes_total\\{direction="sent",domain="other",message="${message}"\\} (\\S+)`, "g"))] as const).sort((a, b) => b[1] - a[1]);
-    const storeRates = texts.map(text => [...text.matchAll(/^agatebend_store_calls_total\{[^}]*\} (\S+)/gm)].reduce((sum, found) => sum + Number(found[1]), 0) / seconds).sort((a, b) => b - a);
     const cpuUsage = computeRate(/^agatebend_process_cpu_seconds_total (\d\S*)/gm);
     process.stdout.write(
         `each instance: ${(sameDomainRate / 1_000).toFixed(2)} KB/s to peers in its failure domain, ${(otherDomainRate / 1_000).toFixed(2)} KB/s to other peers, ${(100 * cpuUsage).toFixed(1)} % of a core, including startup\n`
-            + `store calls a second, by instance: ${storeRates.map(rate => rate.toFixed(2)).join(" ")}\n`
             + `to other peers, in bytes a second: ${messageRates.map(([message, rate]) => `${message} ${Math.round(rate)}`).join(", ")}\n`,
     );
 }
