--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -9,7 +9,8 @@
 import * as types from "./types.js";
 
 export { registerAdapter } from "./adapterRegistry.js";
-export { type CreatePrefixCacheOptions, PrefixCache } from "./prefixCache.js";
+export { PrefixCache } from "./prefixCache.js";
+export type { CreatePrefixCacheOptions } from "./prefixCacheOptions.js";
 export type { DecideOrder, EntryOrder } from "./restoredEntries.js";
 export { StoreGeneration } from "./storeGeneration.js";
 export { storeKey, type StoreService } from "./types.js";
--- a/src/store/prefixCache.ts
+++ b/src/store/prefixCache.ts
@@ -1,11 +1,10 @@
 /** A local copy of the entries under a prefix: it is read once, updated by a watch, and read again whenever the watch is lost. */
 
-import type * as context from "../kernel/context.js";
 import * as errors from "../kernel/errors.js";
 import type * as loop from "../kernel/loop.js";
 import * as entryTable from "./entryTable.js";
 import * as missingEntries from "./missingEntries.js";
-import type * as restoredEntries from "./restoredEntries.js";
+import type * as prefixCacheOptions from "./prefixCacheOptions.js";
 import type * as types from "./types.js";
 import * as watchProgress from "./watchProgress.js";
 
@@ -15,23 +14,6 @@
 /** By then the watch that follows a read has answered for the first time, if the store reports its answers. */
 const firstAnswerDueMs = 3_000;
 
-/** Options of a prefix cache. */
-export interface CreatePrefixCacheOptions {
-    readonly context: context.Context;
-    readonly store: types.StoreService;
-    readonly prefix: string;
-    /** Compares the contents of two entries of a key, for a store that returned with an older copy. */
-    readonly decideOrder?: restoredEntries.DecideOrder;
-    /** Called after each change with all entries by key. */
-    readonly onChange: (entries: ReadonlyMap<string, types.Entry>) => void;
-    /** Returns the longest time without an answer of the store that suits the owner, in milliseconds. */
-    readonly getMaximumWaitMs?: () => number;
-    /** Called whenever the store itself has answered, if the store reports that. */
-    readonly onProgress?: () => void;
-    /** Called when entries are missing after the store was unreachable from this instance. They may reappear. */
-    readonly onEntriesMissing?: () => void;
-}
-
 /** Caches the entries under one prefix. */
 export class PrefixCache {
     private readonly table: entryTable.EntryTable;
@@ -51,7 +33,7 @@
     /** Whether the store itself answers; without answers if the store does not report them. */
     readonly progress: watchProgress.WatchProgress;
 
-    constructor(private readonly options: CreatePrefixCacheOptions) {
+    constructor(private readonly options: prefixCacheOptions.CreatePrefixCacheOptions) {
         const { clock, loop } = options.context;
         this.progress = new watchProgress.WatchProgress(clock);
         this.table = new entryTable.EntryTable({ clock, decideOrder: options.decideOrder });
