Compare borrowed entries with the first read of the store

An instance that starts while the store is away borrows a peer's directory, and took the older copy whole once the store returned. The same comparison now applies there.

--- a/src/store/entryTable.ts
+++ b/src/store/entryTable.ts
@@ -16,6 +16,8 @@
     private entries = new Map<string, types.Entry>();
     /** Undefined if it is not known. */
     private generation: number | undefined;
+    /** Whether the entries come from a peer and the store has not been read yet. */
+    private isBorrowed = false;
     private readonly restored: restoredEntries.RestoredEntries;
 
     constructor(private readonly options: CreateEntryTableOptions) {
@@ -60,6 +62,7 @@
     /** Replaces all entries by those of a peer, without regard to which are newer. */
     setPeerEntries(entries: readonly types.Entry[]): void {
         this.entries = new Map(entries.map(entry => [entry.key, entry]));
+        this.isBorrowed = true;
     }
 
     /**
@@ -67,12 +70,13 @@
      * @param generation - The generation of the store that the peer's entries come from; undefined if the peer does not know it.
      */
     mergePeerEntries(entries: readonly types.Entry[], generation: number | undefined): void {
-        const isNewGeneration = this.isNewGeneration(generation);
+        const isNewGeneration = this.isNewGeneration(generation) || (generation !== undefined && this.generation === undefined);
         const keys = new Set(entries.map(({ key }) => key));
         [...this.entries.keys()].filter(key => !keys.has(key)).forEach(key => this.removeEntry(key));
         // Revisions of different generations cannot be compared. The peer has held back the older entries of the copy.
         this.entries = new Map(entries.map(entry => [entry.key, isNewGeneration ? entry : this.chooseNewer(entry)]));
         this.generation = isNewGeneration ? generation : this.generation;
+        this.isBorrowed = false;
     }
 
     /** Applies the changes of a peer's entries. */
@@ -88,7 +92,9 @@
      */
     mergeListing({ entries, generation }: types.ListResult, keepsMissing: (isNewGeneration: boolean) => boolean): { readonly isNewGeneration: boolean; readonly missingKeys: readonly string[]; } {
         const isNewGeneration = this.isNewGeneration(generation);
-        const merged = this.restored.mergeListing(entries, this.entries, isNewGeneration, this.options.clock.getNow());
+        // The store may have returned with an older copy since a peer read the entries that this instance borrowed at its start.
+        const mayBeOlder = isNewGeneration || (this.isBorrowed && generation !== undefined);
+        const merged = this.restored.mergeListing(entries, this.entries, mayBeOlder, this.options.clock.getNow());
         const missing = [...this.entries.values()].filter(({ key }) => !merged.has(key));
         const keepsAll = keepsMissing(isNewGeneration);
         for (const entry of missing) {
@@ -101,6 +107,7 @@
         }
         this.entries = merged;
         this.generation = generation ?? this.generation;
+        this.isBorrowed = false;
         return { isNewGeneration, missingKeys: keepsAll ? missing.map(({ key }) => key) : [] };
     }
 
--- a/src/store/restoredEntries.ts
+++ b/src/store/restoredEntries.ts
@@ -57,12 +57,12 @@
      * Merges the entries of a read with the known ones.
      * @param listed - The entries that the store has.
      * @param known - The entries in use by key.
-     * @param isNewGeneration - Whether the store returned with an older copy since the known entries were read.
+     * @param mayBeOlder - Whether the store may have returned with an older copy since the known entries were read.
      * @returns The entries to use, without the known ones that the store does not list. An entry that was kept has revision
      * 0, because revisions of an earlier generation cannot be compared with later ones.
      */
-    mergeListing(listed: readonly types.Entry[], known: ReadonlyMap<string, types.Entry>, isNewGeneration: boolean, now: number): Map<string, types.Entry> {
-        if (isNewGeneration) {
+    mergeListing(listed: readonly types.Entry[], known: ReadonlyMap<string, types.Entry>, mayBeOlder: boolean, now: number): Map<string, types.Entry> {
+        if (mayBeOlder) {
             this.held.clear();
             listed.forEach(entry => this.recordIfOlder(entry, known.get(entry.key), now));
         }
--- a/test/store/prefixCache.restored.test.ts
+++ b/test/store/prefixCache.restored.test.ts
@@ -131,6 +131,25 @@
     t.equal(fixture.getSeen(), "a=old b=old c=newest", "what nobody wrote again is the truth");
 });
 
+// An instance that starts while the store is away borrows a peer's entries.
+void tap.test("borrowed entries are not replaced by older ones of the first read", async t => {
+    const fixture = createFixture(true);
+    await fixture.start();
+    fixture.cache.setPeerEntries([{ key: "k/a", value: "2:draining", revision: 500 }, { key: "k/b", value: "1:ready", revision: 501 }]);
+    fixture.setListing(2, 101, ["a", "1:ready", 90], ["b", "2:ready", 95], ["c", "1:ready", 96]);
+    await fixture.wait(100);
+    t.equal(fixture.getSeen(), "a=2:draining b=2:ready c=1:ready");
+    await fixture.put("a", "3:ready", 102);
+    t.equal(fixture.getSeen(), "a=3:ready b=2:ready c=1:ready");
+});
+
+void tap.test("a follower that never read the store takes the entries of each newer generation", async t => {
+    const fixture = createFixture(true);
+    fixture.cache.setEntries([{ key: "k/a", value: "1:ready", revision: 500 }], 1);
+    fixture.cache.setEntries([{ key: "k/a", value: "2:ready", revision: 120 }], 2);
+    t.equal(fixture.getSeen(), "a=2:ready");
+});
+
 void tap.test("a follower", async t => {
     const fixture = createFixture(true);
     fixture.setListing(1, 100, ["a", "1:ready", 90]);
