Allow a quota's rate and burst in each window of 5 s

The bucket filled at the rate alone, so that the burst was given once.

A second bucket fills at the rate plus a fifth of the burst a second. A token is taken from both, and either may grant, so that any window has at most the larger of the two; it begins with a debt of the burst, since another owner may have granted that just before. The slack gives way to the tokens of that bucket within the tolerance.

--- a/src/quotas/quotaAccount.ts
+++ b/src/quotas/quotaAccount.ts
@@ -1,4 +1,9 @@
-/** The tokens of one workspace at its owner: a token bucket that fills at the owner's share of the limit. */
+/**
+ * The tokens of one workspace at its owner. A quota allows its rate times 5 s and its burst in any 5 s, so two token buckets
+ * are kept, and a token is granted if either has one: one with the rate and the burst, for demand that comes after a quiet
+ * time, and one with the rate at which the burst is spread over the window, for demand that lasts. Each token is taken from
+ * both; their levels may be negative.
+ */
 
 import * as quotaLimits from "./quotaLimits.js";
 import type * as quotaMessages from "./quotaMessages.js";
@@ -34,6 +39,8 @@
 /** Holds the tokens of one workspace. An account begins without tokens, since another owner may have granted them just before. */
 export class QuotaAccount {
     private level = 0;
+    /** The level of the bucket for lasting demand. It begins with a debt of the burst, which another owner may have granted. */
+    private windowLevel: number;
     /** Tokens that may be granted beyond the limit. */
     private slack = 0;
     /** Tokens that did not reach a request: those returned, and those of instances that delegate to nobody. Only the slack can make up for them. */
@@ -45,7 +52,9 @@
      */
     private lent: Loan[] = [];
 
-    constructor(private limit: quotaLimits.QuotaLimit, private updated: AccountShare) {}
+    constructor(private limit: quotaLimits.QuotaLimit, private updated: AccountShare) {
+        this.windowLevel = -limit.burst * updated.share;
+    }
 
     /** Applies a changed limit at once. A lower burst removes tokens. */
     setLimit(limit: quotaLimits.QuotaLimit, current: AccountShare): void {
@@ -62,7 +71,9 @@
         const creditMs = Math.max(0, current.creditMs - updated.creditMs);
         this.lent = this.lent.filter(({ until }) => until > current.now);
         const capacity = share >= wholeTokenShare ? Math.max(1, limit.burst * share) : limit.burst * share;
-        this.level = Math.min(Math.max(0, capacity - this.countLent()), this.level + limit.tokensPerMs * creditMs);
+        this.level = Math.min(Math.max(0, capacity - this.countLent()), Math.max(-limit.burst, this.level) + limit.tokensPerMs * creditMs);
+        const addedShare = Math.max(0, share - updated.share);
+        this.windowLevel = Math.min(limit.windowSaved * share, this.windowLevel + limit.windowTokensPerMs * creditMs - limit.burst * addedShare);
         this.slack = Math.min(limit.slack / 2 * share, this.slack + quotaLimits.computeSlackPerMs(limit) * creditMs);
         this.owed = Math.min(limit.slack, this.owed + limit.tokensPerMs * Math.max(0, elapsedMs - creditMs));
         this.unmet *= Math.exp(-elapsedMs / unmetDecayMs);
@@ -77,15 +88,17 @@
         this.applyShare(current);
         const { limit } = this;
         this.owed = Math.min(limit.slack, this.owed + returned - this.applyReturn(returned));
-        const regained = Math.max(0, Math.min(this.owed, this.slack, needed - this.level));
+        const held = Math.max(0, this.level, this.windowLevel);
+        const regained = Math.max(0, Math.min(this.owed, this.slack, needed - held));
         this.owed -= regained;
         this.slack -= regained;
-        const available = this.level + regained;
+        const available = held + regained;
         const granted = Math.min(needed, Math.floor(available));
-        const plenty = Math.max(0, Math.floor(available - granted - limit.burst * current.share / 2));
+        const plenty = Math.max(0, Math.floor(this.level + regained - granted - limit.burst * current.share / 2));
         const lent = Math.min(ahead, plenty);
         const tokens = granted + lent;
-        this.level = available - tokens;
+        this.level += regained - tokens;
+        this.windowLevel += regained - tokens;
         if (lent > 0) {
             this.lent.push({ tokens: lent, until: current.now + quotaLimits.tokenLifetimeMs });
         }
@@ -93,8 +106,8 @@
         if (missing === 0) {
             return { tokens, retryAfterMs: 0 };
         }
-        const tokensPerMs = limit.tokensPerMs * current.share;
-        const waitMs = (Math.max(0, 1 - this.level) + this.unmet) / tokensPerMs;
+        const windowWaitMs = Math.max(0, 1 - this.windowLevel) / limit.windowTokensPerMs;
+        const waitMs = (Math.min(windowWaitMs, Math.max(0, 1 - this.level) / limit.tokensPerMs) + this.unmet / limit.tokensPerMs) / current.share;
         this.unmet += missing;
         return { tokens, retryAfterMs: Math.max(1, Math.min(maximumRetryAfterMs, Math.ceil(waitMs))) };
     }
@@ -109,6 +122,7 @@
             left -= part;
         }
         this.level += tokens;
+        this.windowLevel += tokens;
         return tokens;
     }
 
@@ -118,6 +132,6 @@
 
     /** Returns the tokens that the account held when it was last updated. */
     getLevel(): number {
-        return this.level;
+        return Math.max(this.level, this.windowLevel);
     }
 }
--- a/src/quotas/quotaLimits.ts
+++ b/src/quotas/quotaLimits.ts
@@ -14,14 +14,21 @@
 
 /** The tolerance of a window of 5 s that does not depend on the limit, in requests. */
 const fixedTolerance = 20;
-/** Half of the fixed tolerance is left for shares that hold one whole token although less is due to them. */
-const slackFixedTolerance = fixedTolerance / 2;
-/** What is left of a tenth of the rate in 5 s after the lifetime of tokens, in seconds, and of a tenth of the burst. */
+/** Half of the fixed tolerance is left for shares that hold one whole token although less is due to them, a quarter for the slack. */
+const slackFixedTolerance = fixedTolerance / 4;
+/**
+ * What is left of a tenth of the rate in 5 s after the lifetime of tokens, in seconds, and half of what is left of a tenth of
+ * the burst, which accrues with the window rate during that lifetime as well.
+ */
 const slackOfRateS = 0.1;
-const slackOfBurst = 0.1;
+const slackOfBurst = 0.01;
+/** The rest of the tolerance: what an account may save up at the window rate. */
+const savedFixedTolerance = fixedTolerance / 4;
+const savedOfBurst = 0.01;
 /** The slack may be used for a window and the lifetime of tokens before it, so a tenth less than the tolerance is given out. */
 const slackMargin = 0.9;
-const slackWindowMs = 5_000;
+/** The window in which a quota is counted, in milliseconds. */
+const windowMs = 5_000;
 const millisecondsPerSecond = 1_000;
 const keyBytes = 6;
 
@@ -39,6 +46,10 @@
     /** The group of workspaces that it belongs to. */
     readonly shard: number;
     readonly tokensPerMs: number;
+    /** The rate at which the burst is spread evenly over the window of the quota. Any 5 s allow 5 times the rate and the burst. */
+    readonly windowTokensPerMs: number;
+    /** The tokens that may be saved up at that rate. */
+    readonly windowSaved: number;
     readonly burst: number;
     /** The tokens that may be granted beyond the limit in 5 s, in place of others that were granted and not used. */
     readonly slack: number;
@@ -49,10 +60,20 @@
 export function createQuotaLimit(name: string, { requestsPerSecond, burst }: Quota): QuotaLimit {
     const key = crypto.createHash("sha256").update(name).digest().readUIntBE(0, keyBytes);
     const slack = slackMargin * (slackOfRateS * requestsPerSecond + slackOfBurst * burst + slackFixedTolerance);
-    return { name, key, shard: key % shardCount, tokensPerMs: requestsPerSecond / millisecondsPerSecond, burst, slack, requestsPerSecond };
+    return {
+        name,
+        key,
+        shard: key % shardCount,
+        tokensPerMs: requestsPerSecond / millisecondsPerSecond,
+        windowTokensPerMs: requestsPerSecond / millisecondsPerSecond + burst / windowMs,
+        windowSaved: Math.min(burst, savedFixedTolerance + savedOfBurst * burst),
+        burst,
+        slack,
+        requestsPerSecond,
+    };
 }
 
 /** Half of the slack is held, and half of it accrues within the window of the tolerance. */
 export function computeSlackPerMs({ slack }: QuotaLimit): number {
-    return slack / 2 / slackWindowMs;
+    return slack / 2 / windowMs;
 }
--- a/test/quotas/quotaAccount.test.ts
+++ b/test/quotas/quotaAccount.test.ts
@@ -48,6 +48,19 @@
         const { tokens } = account.takeTokens({ needed: 1_000, ahead: 0, returned: 1_000 }, at(60_000));
         t.equal(tokens, Math.floor(limit.slack / 2));
     });
+    // Guards against a workspace that asks for its whole quota of each window and gets the rate alone: on the clinic gateway, 570
+    // requests of a workspace were refused although no window had as many as its rate times 5 s and its burst.
+    await t.test("allows the rate and the burst of each window to demand that lasts, and the burst at once after a quiet time", async t => {
+        const account = new quotaAccount.QuotaAccount(quotaLimits.createQuotaLimit("w", { requestsPerSecond: 100, burst: 100 }), at(0));
+        t.equal(account.takeTokens({ needed: 150, ahead: 0, returned: 0 }, at(10_000)).tokens, 100, "the burst");
+        let granted = 0;
+        for (let now = 10_010; now <= 30_000; now += 10) {
+            granted += account.takeTokens({ needed: 2, ahead: 0, returned: 0 }, at(now)).tokens;
+        }
+        const windowRate = 100 + 100 / 5;
+        t.ok(granted >= 20 * windowRate - 100 && granted <= 20 * windowRate + 10, `${granted} tokens in 20 s; the window allows ${windowRate} a second`);
+        t.equal(account.takeTokens({ needed: 150, ahead: 0, returned: 0 }, at(60_000)).tokens, 100, "the burst again");
+    });
     await t.test("a lower limit removes tokens at once", async t => {
         const account = createAccount();
         account.setLimit(quotaLimits.createQuotaLimit("w", { requestsPerSecond: 1, burst: 1 }), at(5_000));
