Give the request of the executor's test a body

The bytes of a request's body are now passed to the queue, and the test's request, which is cast from a part of the type, had none. No assertion changes; the file passes again.

--- a/test/requests/executorContext.test.ts
+++ b/test/requests/executorContext.test.ts
@@ -64,7 +64,7 @@
         } as unknown as executorContext.CreateExecutorContextOptions);
         const endsAt = time.getNow() + 1_000 + remainingMs;
         executor.setShutdownTimes({ endsAt, estimatesEndAt: endsAt });
-        const request = { route: { service: "desk", name: "r" }, deadlineAt: endsAt + 1_000, progress: { setWait: () => {} } };
+        const request = { route: { service: "desk", name: "r" }, deadlineAt: endsAt + 1_000, body: Buffer.alloc(0), progress: { setWait: () => {} } };
         const slot = await executor.acquireSlot(request as unknown as types.RoutedRequest, new Set(), { isRetry: false, canRetry: false, mayHaveRun });
         return slot.match(() => "sent", error => `${error.kind}, slot ${released.join()}`);
     };
