Let only instances that have run for a minute judge who has a part of a quota

Change: messages carry no judgement from instances that run for less than a minute. In the virtual fleet the first instances have run for longer, so that the addresses known at a start do not hide missing members, and drains are learnt by heartbeats. Earlier failing histories are examples of the property.

--- a/src/quotas/quotaMessages.ts
+++ b/src/quotas/quotaMessages.ts
@@ -13,6 +13,8 @@
 const counterSchema = z.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
 const tokensSchema = z.number().int().min(0).max(maximumTokens);
 const keySchema = z.number().int().min(0).max(2 ** 48 - 1);
+/** 1: yes, 2: no, 0: the sender does not know. */
+const membershipSchema = z.number().int().min(0).max(2);
 const timeSchema = z.number().min(0).max(Number.MAX_SAFE_INTEGER);
 
 /** The time of an owner's reply by its own clock, which proves to it that a later message is not an old one. */
@@ -28,7 +30,7 @@
     counterSchema,
     /** The number of members that have a part of the limits, as far as it knows, and whether the owner is one of them. */
     z.number().int().min(1).max(1_000_000),
-    z.boolean(),
+    membershipSchema,
     /** The shards that it delegates to the owner, one bit each. */
     z.number().int().min(0).max(2 ** quotaLimits.shardCount - 1),
     /** The incarnation and time of the owner's last reply; empty before the first. */
@@ -43,7 +45,7 @@
     timeSchema,
     /** The number of members that have a part of the limits, as far as it knows, and whether the asking instance is one of them. */
     z.number().int().min(1).max(1_000_000),
-    z.boolean(),
+    membershipSchema,
     /** By workspace: its key, the tokens granted, after how many milliseconds there will be one, and the requests per second of the limit that the owner knows. */
     z.array(z.tuple([keySchema, tokensSchema, z.number().min(0).max(3_600_000), z.number().positive().max(1_000_000_000)])).max(maximumWants),
 ]);
@@ -55,8 +57,8 @@
     readonly incarnation: number;
     readonly sequence: number;
     readonly memberCount: number;
-    /** Whether the receiver has a part of the limits, as far as the sender knows. */
-    readonly isMember: boolean;
+    /** Whether the receiver has a part of the limits; undefined if the sender has not run for long enough to know. */
+    readonly isMember: boolean | undefined;
     readonly shards: number;
     readonly stamp: Stamp | undefined;
     readonly wants: readonly Want[];
@@ -83,8 +85,8 @@
 export interface Reply {
     readonly stamp: Stamp;
     readonly memberCount: number;
-    /** Whether the receiver has a part of the limits, as far as the sender knows. */
-    readonly isMember: boolean;
+    /** Whether the receiver has a part of the limits; undefined if the sender has not run for long enough to know. */
+    readonly isMember: boolean | undefined;
     readonly grants: readonly WorkspaceGrant[];
 }
 
@@ -100,9 +102,27 @@
 const parseAskTuple = cachedParser.createCachedParser(askSchema);
 const parseReplyTuple = cachedParser.createCachedParser(replySchema);
 
+function encodeMembership(isMember: boolean | undefined): number {
+    return isMember === undefined ? 0 : isMember ? 1 : 2;
+}
+
+function decodeMembership(membership: number): boolean | undefined {
+    return membership === 0 ? undefined : membership === 1;
+}
+
 /** Encodes a request for tokens as plain data. */
 export function encodeAsk({ ownerId, instanceId, incarnation, sequence, memberCount, isMember, shards, stamp, wants }: Ask): z.infer<typeof askSchema> {
-    return [ownerId, instanceId, incarnation, sequence, memberCount, isMember, shards, stamp === undefined ? [] : [stamp.incarnation, stamp.time], wants.map(({ key, needed, ahead, returned }) => [key, needed, ahead, returned])];
+    return [
+        ownerId,
+        instanceId,
+        incarnation,
+        sequence,
+        memberCount,
+        encodeMembership(isMember),
+        shards,
+        stamp === undefined ? [] : [stamp.incarnation, stamp.time],
+        wants.map(({ key, needed, ahead, returned }) => [key, needed, ahead, returned]),
+    ];
 }
 
 /** Decodes a request for tokens; undefined if it is malformed. */
@@ -111,14 +131,14 @@
     if (tuple === undefined) {
         return undefined;
     }
-    const [ownerId, instanceId, incarnation, sequence, memberCount, isMember, shards, [stampIncarnation, time], wants] = tuple;
+    const [ownerId, instanceId, incarnation, sequence, memberCount, membership, shards, [stampIncarnation, time], wants] = tuple;
     const stamp = stampIncarnation === undefined || time === undefined ? undefined : { incarnation: stampIncarnation, time };
-    return { ownerId, instanceId, incarnation, sequence, memberCount, isMember, shards, stamp, wants: wants.map(([key, needed, ahead, returned]) => ({ key, needed, ahead, returned })) };
+    return { ownerId, instanceId, incarnation, sequence, memberCount, isMember: decodeMembership(membership), shards, stamp, wants: wants.map(([key, needed, ahead, returned]) => ({ key, needed, ahead, returned })) };
 }
 
 /** Encodes a reply as plain data. */
 export function encodeReply({ stamp, memberCount, isMember, grants }: Reply): z.infer<typeof replySchema> {
-    return [stamp.incarnation, stamp.time, memberCount, isMember, grants.map(({ key, tokens, retryAfterMs, requestsPerSecond }) => [key, tokens, retryAfterMs, requestsPerSecond])];
+    return [stamp.incarnation, stamp.time, memberCount, encodeMembership(isMember), grants.map(({ key, tokens, retryAfterMs, requestsPerSecond }) => [key, tokens, retryAfterMs, requestsPerSecond])];
 }
 
 /** Decodes a reply; undefined if it is malformed. */
@@ -127,6 +147,6 @@
     if (tuple === undefined) {
         return undefined;
     }
-    const [incarnation, time, memberCount, isMember, grants] = tuple;
-    return { stamp: { incarnation, time }, memberCount, isMember, grants: grants.map(([key, tokens, retryAfterMs, requestsPerSecond]) => ({ key, tokens, retryAfterMs, requestsPerSecond })) };
+    const [incarnation, time, memberCount, membership, grants] = tuple;
+    return { stamp: { incarnation, time }, memberCount, isMember: decodeMembership(membership), grants: grants.map(([key, tokens, retryAfterMs, requestsPerSecond]) => ({ key, tokens, retryAfterMs, requestsPerSecond })) };
 }
--- a/src/quotas/quotaNode.ts
+++ b/src/quotas/quotaNode.ts
@@ -18,6 +18,8 @@
 const minimumIntervalMs = 5;
 /** A workspace without requests for this long is forgotten, in milliseconds. */
 const idleMs = 10_000;
+/** An instance that has run for less does not judge whether others have a part of the limits, since it may not know all members, in milliseconds. */
+const judgesAfterMs = 60_000;
 /** When an owner that does not know a limit is asked again, in milliseconds: its configuration is older. */
 const unknownLimitRetryMs = 100;
 
@@ -31,6 +33,8 @@
     /** Monotonic milliseconds, the time of suspensions included. */
     readonly getNow: () => number;
     readonly loop: Pick<loop.Loop, "scheduleOnce">;
+    /** When the process started, in the same milliseconds. */
+    readonly startedAt: number;
     /** Sends a message to its owner. */
     readonly sendAsk: (ask: quotaMessages.Ask, listener: ReplyListener) => void;
     readonly onOwnerChange: (owners: readonly string[]) => void;
@@ -56,7 +60,7 @@
     private readonly demands = new Map<number, workspaceDemand.WorkspaceDemand>();
     private limits = new Map<number, quotaLimits.QuotaLimit>();
     private ownCount = 1;
-    /** Whether others last said that this instance has a part of the limits. */
+    /** Whether others that know last said that this instance has a part of the limits. */
     private isMember = true;
     private sequence = 0;
     /** Owners for which a message is scheduled. */
@@ -66,7 +70,7 @@
     constructor(private readonly options: CreateQuotaNodeOptions) {
         const now = options.getNow();
         this.owner = new quotaOwner.QuotaOwner({ incarnation: options.incarnation, now });
-        this.directory = new ownerDirectory.OwnerDirectory({ selfId: options.selfId, now });
+        this.directory = new ownerDirectory.OwnerDirectory({ selfId: options.selfId, now: options.startedAt });
     }
 
     /** Applies the limits of a configuration; lower ones bind at once. */
@@ -111,8 +115,9 @@
         const { selfId } = this.options;
         const isDraining = view.members.some(({ instanceId, state }) => instanceId === selfId && state === "draining");
         this.directory.setHasPart(this.isMember && !isDraining);
-        this.ownCount = Math.max(1, this.known.countMembers(), view.expectedCount);
-        this.owner.setMemberCount(Math.max(this.ownCount, this.heard.getHighest(now)), now);
+        // Others are told of known members only: addresses may be old ones, or several of one instance.
+        this.ownCount = Math.max(1, this.known.countMembers());
+        this.owner.setMemberCount(Math.max(this.ownCount, view.expectedCount, this.heard.getHighest(now)), now);
         this.setCandidates(view.candidates);
         this.applyOwnDelegation(now);
         this.owner.runTick(now);
@@ -132,8 +137,8 @@
     receiveAsk(ask: quotaMessages.Ask): quotaMessages.Reply {
         const now = this.options.getNow();
         this.recordPeer(ask, now);
-        const isMember = this.known.hasMember(ask.instanceId);
-        return { ...this.owner.receiveAsk({ ...ask, shards: isMember ? ask.shards : 0 }, now), memberCount: this.ownCount, isMember };
+        const shards = this.known.hasMember(ask.instanceId) ? ask.shards : 0;
+        return { ...this.owner.receiveAsk({ ...ask, shards }, now), memberCount: this.ownCount, isMember: this.checkMembership(ask.instanceId, now) };
     }
 
     /** Returns the state for the dump: owners, and the part of the limits of each shard that this instance grants. */
@@ -222,7 +227,7 @@
             wants.forEach(({ key }) => this.scheduleNextAsk(this.demands.get(key), getNow()));
         };
         const cancelTimer = timers.scheduleOnce(replyTimeoutMs, fail);
-        this.options.sendAsk({ ownerId, instanceId: selfId, incarnation, sequence, memberCount: this.ownCount, isMember: this.known.hasMember(ownerId), shards, stamp, wants }, reply => {
+        this.options.sendAsk({ ownerId, instanceId: selfId, incarnation, sequence, memberCount: this.ownCount, isMember: this.checkMembership(ownerId, sentAt), shards, stamp, wants }, reply => {
             if (reply === undefined) {
                 if (isPending) {
                     fail();
@@ -259,7 +264,11 @@
 
     private recordPeer({ memberCount, isMember }: Pick<quotaMessages.Ask, "memberCount" | "isMember">, now: number): void {
         this.heard.addCount(memberCount, now);
-        this.isMember = isMember;
+        this.isMember = isMember ?? this.isMember;
+    }
+
+    private checkMembership(instanceId: string, now: number): boolean | undefined {
+        return now - this.options.startedAt < judgesAfterMs ? undefined : this.known.hasMember(instanceId);
     }
 
     private recordAskEnd(wants: readonly quotaMessages.Want[]): void {
--- a/src/quotas/quotaService.ts
+++ b/src/quotas/quotaService.ts
@@ -62,6 +62,7 @@
             selfId: identity.instanceId,
             incarnation: identity.incarnation,
             getNow: this.getNow,
+            startedAt: this.startedAt,
             loop,
             sendAsk: (ask, listener) => void this.sendAsk(ask, listener),
             onOwnerChange: owners => logger.writeInfo("quota-owner-changed", `quotas are owned by ${owners.join(" and ")} now`, { owners: owners.join(" "), own: owners.includes(identity.instanceId) }),
--- a/test/quotas/quotas.property.test.ts
+++ b/test/quotas/quotas.property.test.ts
@@ -40,6 +40,29 @@
     actions[kind]();
 }
 
+const common = { seed: 0, count: 4, hasCells: false, lossRate: 0, quotas: [{ requestsPerSecond: 12, burst: 2 }], factor: 8, pauseMs: 0 };
+/** Histories that exceeded the bound with earlier states of the code or of the virtual fleet. */
+const examples: [typeof common & { readonly events: FleetEvent[]; }][] = [
+    // The others forgot an instance that drained, and it used its part behind a cut.
+    [{ ...common, quotas: [{ requestsPerSecond: 200, burst: 2 }], events: [{ atMs: 4_629, forMs: 8_622, index: 3, count: 1, kind: "cutOne" }, { atMs: 0, forMs: 20_000, index: 15, count: 1, kind: "drain" }] }],
+    // Instances that restarted together in two halves did not know of each other.
+    [{ ...common, events: [{ atMs: 4_623, forMs: 3_378, index: 0, count: 2, kind: "cut" }, { atMs: 3_842, forMs: 1_159, index: 0, count: 4, kind: "kill" }] }],
+    // Two that joined on the side of one that drained, behind a cut, took themselves for members.
+    [{
+        ...common,
+        count: 3,
+        quotas: [{ requestsPerSecond: 12, burst: 5 }],
+        factor: 3,
+        events: [{ atMs: 0, forMs: 7_000, index: 0, count: 2, kind: "cut" }, { atMs: 1_468, forMs: 50, index: 0, count: 1, kind: "add" }, { atMs: 4, forMs: 1_792, index: 23, count: 1, kind: "drain" }, {
+            atMs: 14,
+            forMs: 50,
+            index: 0,
+            count: 1,
+            kind: "add",
+        }],
+    }],
+];
+
 /** Sends requests of each workspace to all instances in turn, at a multiple of the limit. */
 function startDemand(fleet: virtualFleet.VirtualFleet, workspace: string, quota: quotaLimits.Quota, factor: number, pauseMs: number): void {
     const sendNext = () => {
@@ -81,7 +104,7 @@
                 }
             },
         ),
-        { numRuns: runs },
+        { numRuns: runs, examples },
     );
     t.pass("the bound held");
 });
--- a/test/quotas/virtualFleet.ts
+++ b/test/quotas/virtualFleet.ts
@@ -26,6 +26,8 @@
     isDraining: boolean;
     /** When each instance was last heard of. */
     readonly heard: Map<string, number>;
+    /** Instances that it knows to drain. */
+    readonly drains: Set<string>;
     limits: readonly quotaLimits.QuotaLimit[];
     pausedRelay: string;
     /** Members that the instance expects by the addresses that it knew at its start. */
@@ -63,14 +65,16 @@
     constructor(private readonly options: CreateVirtualFleetOptions) {
         this.random = randomness.createSeededRandomness(options.seed);
         for (let index = 0; index < options.count; index += 1) {
-            this.addInstance();
+            this.addInstance(true);
         }
         this.instances.forEach(instance => this.instances.forEach(other => instance.heard.set(other.id, this.time.now)));
+        // The first instances have run for longer than addresses count, and know each other.
+        this.instances.forEach(instance => instance.expectedCount = 1);
         this.instances.forEach(instance => this.applyView(instance));
     }
 
     /** Adds an instance, which knows only itself at first. */
-    addInstance(): void {
+    addInstance(isFirst = false): void {
         const index = this.instances.length;
         const instance = {
             id: `i${index}`,
@@ -80,11 +84,12 @@
             isKilled: false,
             isDraining: false,
             heard: new Map<string, number>(),
+            drains: new Set<string>(),
             limits: this.limits,
             pausedRelay: "",
         } as unknown as VirtualInstance;
         this.instances.push(instance);
-        this.startNode(instance);
+        this.startNode(instance, isFirst);
         this.scheduleTick(instance);
         this.scheduleHeartbeat(instance);
     }
@@ -162,7 +167,7 @@
         return shares.indexOf(Math.max(...shares));
     }
 
-    private startNode(instance: VirtualInstance): void {
+    private startNode(instance: VirtualInstance, isFirst = false): void {
         instance.incarnation += 1;
         instance.heard.set(instance.id, this.time.now);
         instance.expectedCount = Math.max(this.options.count, this.instances.length);
@@ -170,6 +175,8 @@
             selfId: instance.id,
             incarnation: instance.incarnation,
             getNow: () => this.time.now,
+            // The first instances have run for some minutes.
+            startedAt: this.time.now - (isFirst ? 300_000 : 0),
             loop: { scheduleOnce: (delayMs, task) => this.schedule(instance, delayMs, task) },
             sendAsk: (ask, listener) => this.sendAsk(instance, ask, listener),
             onOwnerChange: () => {
@@ -207,7 +214,12 @@
     private scheduleHeartbeat(instance: VirtualInstance): void {
         this.time.scheduleOnce(heartbeatMs, () => {
             if (!instance.isKilled && instance.frozenUntil <= this.time.now) {
-                this.instances.filter(other => this.isReachable(instance, other)).forEach(other => this.schedule(other, gossipDelayMs, () => other.heard.set(instance.id, this.time.now)));
+                const { isDraining } = instance;
+                const receive = (other: VirtualInstance) => {
+                    other.heard.set(instance.id, this.time.now);
+                    other.drains[isDraining ? "add" : "delete"](instance.id);
+                };
+                this.instances.filter(other => this.isReachable(instance, other)).forEach(other => this.schedule(other, gossipDelayMs, () => receive(other)));
             }
             this.scheduleHeartbeat(instance);
         });
@@ -223,7 +235,7 @@
         const members = this.instances.filter(({ id }) => now - (instance.heard.get(id) ?? -Infinity) < deadAfterMs).map(other => ({
             instanceId: other.id,
             failureDomain: other.failureDomain,
-            state: now - instance.heard.get(other.id)! > suspectAfterMs ? "suspect" as const : other.isDraining ? "draining" as const : "running" as const,
+            state: now - instance.heard.get(other.id)! > suspectAfterMs ? "suspect" as const : instance.drains.has(other.id) ? "draining" as const : "running" as const,
         }));
         instance.view = this.getTopology(members);
         const candidates = members.filter(({ instanceId, state }) => state === "running" && (!this.options.hasCells || instance.view.isRelay(instanceId))).map(({ instanceId }) => instanceId);
