Let requests wait for a quota owner after a start or a change of owners

Requests wait up to 1 s while their workspace has no owner to which this instance has delegated, forecasts assume at least half of the delegations, and delegations of an earlier process end a second after this process started, not after the plug-in did.

--- a/src/quotas/index.ts
+++ b/src/quotas/index.ts
@@ -15,6 +15,7 @@
             context,
             mesh: context.services.getService(peers.meshKey),
             configuration: context.services.getService(configuration.configurationKey),
+            processAgeMs: process.uptime() * 1_000,
         });
         context.services.setService(quotaService.quotaServiceKey, service);
         return { start: async () => service.start(), getDump: () => service.getDump() };
--- a/src/quotas/ownerDirectory.ts
+++ b/src/quotas/ownerDirectory.ts
@@ -67,6 +67,12 @@
         return this.owners[shard]!;
     }
 
+    /** Returns whether this instance has delegated its part of a shard to the shard's owner. */
+    isDelegated(shard: number, now: number): boolean {
+        const commitment = this.commitments.get(shard);
+        return commitment !== undefined && commitment.ownerId === this.owners[shard] && commitment.until > now;
+    }
+
     /** Lists the owners, each once. */
     listOwners(): readonly string[] {
         return [...new Set(this.owners)];
--- a/src/quotas/quotaAccount.ts
+++ b/src/quotas/quotaAccount.ts
@@ -10,6 +10,8 @@
 
 /** A share of at least this holds one whole token even if less is due to it; there are at most ten such shares of a limit. */
 const wholeTokenShare = 0.1;
+/** A smaller share is that of a new owner, which most instances are about to delegate to; forecasts assume this one. */
+const minimumForecastShare = 0.5;
 /** How fast demand that was not met is forgotten, in milliseconds. */
 const unmetDecayMs = 200;
 /** A caller is asked to come back within this time even if it would find no token yet, in milliseconds. */
@@ -107,7 +109,7 @@
             return { tokens, retryAfterMs: 0 };
         }
         const windowWaitMs = Math.max(0, 1 - this.windowLevel) / limit.windowTokensPerMs;
-        const waitMs = (Math.min(windowWaitMs, Math.max(0, 1 - this.level) / limit.tokensPerMs) + this.unmet / limit.tokensPerMs) / current.share;
+        const waitMs = (Math.min(windowWaitMs, Math.max(0, 1 - this.level) / limit.tokensPerMs) + this.unmet / limit.tokensPerMs) / Math.max(minimumForecastShare, current.share);
         this.unmet += missing;
         return { tokens, retryAfterMs: Math.max(1, Math.min(maximumRetryAfterMs, Math.ceil(waitMs))) };
     }
--- a/src/quotas/quotaNode.ts
+++ b/src/quotas/quotaNode.ts
@@ -90,8 +90,9 @@
         const now = this.options.getNow();
         const demand = this.demands.get(limit.key) ?? new workspaceDemand.WorkspaceDemand(limit, now);
         this.demands.set(limit.key, demand);
-        if (demand.addRequest(now, resolve)) {
-            this.options.loop.scheduleOnce(workspaceDemand.maximumWaitMs, () => demand.resolveWaiters(this.options.getNow()));
+        const waitMs = demand.addRequest(now, this.directory.isDelegated(limit.shard, now), resolve);
+        if (waitMs !== undefined) {
+            this.options.loop.scheduleOnce(waitMs, () => demand.resolveWaiters(this.options.getNow()));
             this.dispatchAsk(limit.shard, now);
             return;
         }
--- a/src/quotas/quotaService.ts
+++ b/src/quotas/quotaService.ts
@@ -36,6 +36,8 @@
     readonly context: context.Context;
     readonly mesh: peers.Mesh;
     readonly configuration: Pick<configuration.ConfigurationService, "addListener">;
+    /** How long the process has run, in milliseconds. What an earlier process of this instance delegated ends a second after its start. */
+    readonly processAgeMs?: number;
 }
 
 type AcquireResult = Result<QuotaPermit, errors.FleetError>;
@@ -56,7 +58,7 @@
     constructor(private readonly options: CreateQuotaServiceOptions) {
         const { context: { identity, clock, loop, logger } } = options;
         this.getNow = suspensionClock.createSuspensionClock(clock);
-        this.startedAt = this.getNow();
+        this.startedAt = this.getNow() - (options.processAgeMs ?? 0);
         this.metrics = new quotaMetrics.QuotaMetrics(options.context);
         this.node = new quotaNode.QuotaNode({
             selfId: identity.instanceId,
--- a/src/quotas/workspaceDemand.ts
+++ b/src/quotas/workspaceDemand.ts
@@ -4,7 +4,12 @@
 import * as tokenStock from "./tokenStock.js";
 
 /** The longest that a request waits for a token, in milliseconds. It covers the way to an owner and a bucket that is empty for a moment. */
-export const maximumWaitMs = 100;
+const usualWaitMs = 100;
+/**
+ * The longest wait while the workspace has no owner to which this instance has delegated, after a start or a change of the
+ * owner. Then nothing says that the quota is used up, and a delegation takes up to a second.
+ */
+const ownerWaitMs = 1_000;
 /** More requests than this, besides those for which the limit accrues a token while they wait, are not held. */
 const minimumWaiting = 8;
 /** An owner that had no token is asked again after this time at the latest, in milliseconds. */
@@ -23,6 +28,8 @@
 
 interface Waiter {
     readonly since: number;
+    /** When the request is refused. */
+    readonly until: number;
     readonly resolve: (decision: Decision) => void;
 }
 
@@ -58,23 +65,25 @@
 
     /**
      * Admits a request if there is a token, refuses it if there will be none soon, and lets it wait otherwise.
-     * @returns Whether the request waits.
+     * @param hasOwner - Whether the part of this instance is delegated to the owner of the workspace.
+     * @returns How long the request waits at most, in milliseconds; undefined if it does not wait.
      */
-    addRequest(now: number, resolve: (decision: Decision) => void): boolean {
+    addRequest(now: number, hasOwner: boolean, resolve: (decision: Decision) => void): number | undefined {
+        const maximumWaitMs = hasOwner ? usualWaitMs : ownerWaitMs;
         this.usedAt = now;
         this.stock.recordRequest(now);
         const expiresAt = this.waiters.length === 0 ? this.stock.takeToken(now) : undefined;
         if (expiresAt !== undefined) {
             resolve({ kind: "granted", expiresAt, waitedMs: 0 });
-            return false;
+            return undefined;
         }
         const isFull = this.waiters.length >= minimumWaiting + this.limit.tokensPerMs * maximumWaitMs;
         if (isFull || this.roomAt > now + maximumWaitMs) {
             resolve(this.createRefusal(now, now));
-            return false;
+            return undefined;
         }
-        this.waiters.push({ since: now, resolve });
-        return true;
+        this.waiters.push({ since: now, until: now + maximumWaitMs, resolve });
+        return maximumWaitMs;
     }
 
     /**
@@ -135,8 +144,8 @@
             const { since, resolve } = this.waiters.shift()!;
             resolve({ kind: "granted", expiresAt, waitedMs: now - since });
         }
-        const late = this.waiters.filter(({ since }) => this.isLate(since, now));
-        this.waiters = this.waiters.filter(({ since }) => !this.isLate(since, now));
+        const late = this.waiters.filter(({ until }) => this.isLate(until, now));
+        this.waiters = this.waiters.filter(({ until }) => !this.isLate(until, now));
         late.forEach(({ since, resolve }) => resolve(this.createRefusal(since, now)));
     }
 
@@ -161,8 +170,8 @@
         return now - this.usedAt > idleMs && this.waiters.length === 0 && this.asked === 0;
     }
 
-    private isLate(since: number, now: number): boolean {
-        return now >= since + maximumWaitMs || this.roomAt > since + maximumWaitMs;
+    private isLate(until: number, now: number): boolean {
+        return now >= until || this.roomAt > until;
     }
 
     private createRefusal(since: number, now: number): Decision {
