--- a/src/peers/link.ts
+++ b/src/peers/link.ts
@@ -37,9 +37,9 @@
     /** The shared secret of the fleet; empty if none is set. */
     readonly secret: string;
     readonly events: LinkEvents;
-    /** Called with the size of each frame and the label of its message. */
     /** Returns whether the peer accepts compressed messages. */
     readonly isCompressionAccepted: (peer: PeerIdentity) => boolean;
+    /** Called with the size of each frame and the label of its message. */
     readonly countBytes: (direction: "sent" | "received", bytes: number, peer: PeerIdentity | undefined, label: string) => void;
 }
 
