Draw additions behind a cut again in the property of the quotas

The property had been narrowed after one history of an instance that joins behind a cut exceeded the bound by 0.8 requests. Its own test stays.

--- a/test/quotas/quotas.property.test.ts
+++ b/test/quotas/quotas.property.test.ts
@@ -42,8 +42,6 @@
 
 type FleetHistory = typeof common & { readonly events: readonly FleetEvent[]; };
 
-/** Instances that are added know the others after this time. */
-const meetingMs = 2_000;
 const common = { seed: 0, count: 4, hasCells: false, lossRate: 0, quotas: [{ requestsPerSecond: 12, burst: 2 }], factor: 8, pauseMs: 0 };
 /** Histories that exceeded the bound with earlier states of the code or of the virtual fleet. */
 const examples: [typeof common & { readonly events: FleetEvent[]; }][] = [
@@ -96,11 +94,6 @@
     }
 }
 
-/** Returns whether an instance is added while a cut may keep it from those that run, which has a test of its own. */
-function isUnmet(event: FleetEvent, events: readonly FleetEvent[]): boolean {
-    return event.kind === "add" && events.some(other => other.kind.startsWith("cut") && event.atMs > other.atMs - meetingMs && event.atMs < other.atMs + other.forMs);
-}
-
 void tap.test("no window has more executions than the bound", async t => {
     fc.assert(
         fc.property(
@@ -110,7 +103,7 @@
                 hasCells: fc.boolean(),
                 lossRate: fc.constantFrom(0, 0, 0.02, 0.2),
                 quotas: fc.array(quotaArbitrary, { minLength: 1, maxLength: 3 }),
-                events: fc.array(eventArbitrary, { maxLength: 8 }).map(events => events.filter(event => !isUnmet(event, events))),
+                events: fc.array(eventArbitrary, { maxLength: 8 }),
                 factor: fc.constantFrom(1.2, 3, 8),
                 pauseMs: fc.constantFrom(0, 0, 1_500, 4_000),
             }),
