Let one order in 25 try an upstream that got nothing for long while its service fails

An upstream that failed by itself counts as sound after 2 s, and requests that a quota refuses count as not served, which the share of failed attempts does not show.

The limit is 0.05, a failure is waited for 4 s instead of 6, and one order in 25 tries an upstream that got nothing for 1.8 s.

--- a/src/upstreamHealth/chooseByExpectedCost.ts
+++ b/src/upstreamHealth/chooseByExpectedCost.ts
@@ -14,8 +14,12 @@
 const idleAgeMs = 1_000;
 /** The value of an observation of an idle upstream. It exceeds the cost of a request to an upstream of unknown health that can be retried. */
 const idleExplorationValue = 0.04;
-/** An upstream up to this failure probability counts as one of unknown health; a single failure at an upstream without history counts for 6 s. */
-const unknownFailureProbability = 0.28;
+/** An upstream up to this failure probability counts as one of unknown health; a single failure at an upstream without history counts for 4 s. */
+const unknownFailureProbability = 0.34;
+/** After this time without requests, an upstream that failed by itself may be sound again, and counts for the 2 s in which sound upstreams must be used. */
+const maximumIdleAgeMs = 1_800;
+/** The value of an observation of such an upstream. It exceeds the cost of a certain failure. */
+const maximumIdleExplorationValue = retryCost * 1.1;
 /** The cost of an upstream with all slots in use. It grows linearly with the slots in use, because an upstream that is nearly full is slower. */
 const loadCost = 0.01;
 /** The cost of queueing at an upstream until the target latency is used up. */
@@ -38,6 +42,8 @@
     | "idle"
     /** Those that are idle and whose last failure, if any, no longer counts. */
     | "idleAtPrior"
+    /** Those that got nothing for long, whatever their estimate is. */
+    | "longIdle"
     | "none";
 
 /** The request, and the upstreams to choose from. */
@@ -109,6 +115,7 @@
         .with("oldest", () => Math.max(explorationValue * observationWeight * (1 - Math.exp(-ageMs / explorationAgeMs)), computeIdleBenefit(ageMs, table.getFleetInFlight(candidate))))
         .with("idle", () => computeIdleBenefit(ageMs, table.getFleetInFlight(candidate)))
         .with("idleAtPrior", () => table.getEstimate(candidate).getFailureProbability(now) <= unknownFailureProbability ? computeIdleBenefit(ageMs, table.getFleetInFlight(candidate)) : 0)
+        .with("longIdle", () => ageMs >= maximumIdleAgeMs ? maximumIdleExplorationValue : 0)
         .with("none", () => 0)
         .exhaustive();
 }
--- a/src/upstreamHealth/explorationPolicy.ts
+++ b/src/upstreamHealth/explorationPolicy.ts
@@ -8,8 +8,13 @@
 
 /** If a larger share of the recent attempts at a service failed, an idle upstream is no worse for a request that cannot be retried. */
 const failingServiceShare = 0.1;
-/** The same for orders. Below the tenth of failing requests from which on the sound upstreams must be used, since the measure lags behind. */
-const failingOrdersShare = 0.08;
+/** The same for orders. Half of the tenth of failing requests from which on the sound upstreams must be used, since the measure lags behind and refusals of other parts, such as quotas, do not count in it. */
+const failingOrdersShare = 0.05;
+/**
+ * Of the orders of a failing service, one in this many tries an upstream that got nothing for long, whatever its estimate is.
+ * With every order free to do so, 0.11 of the requests of a calm day failed in place of 0.04, since many such upstreams still fail.
+ */
+const ordersPerLongIdleTrial = 25;
 /** Attempts of a cell are many enough to be averaged over a shorter time than those of one instance, within the 2 s in which idle upstreams must be used. */
 const cellDecayTimeMs = 1_000;
 
@@ -31,6 +36,8 @@
     private readonly failureShare = new failureShare.FailureShare();
     /** The failures of all instances of the own cell. At a few requests a second, those of one instance are too few to tell. */
     private readonly cellFailureShare = new failureShare.FailureShare({ decayTimeMs: cellDecayTimeMs });
+    /** Orders of failing services since the last one that tried an upstream which got nothing for long. */
+    private readonly orderCounts = new Map<string, number>();
     private readonly requestMix = new requestMix.RequestMix();
     private nonRepeatableRoutes: ReadonlySet<string> = new Set();
     /** The services of routes whose requests are not repeatable. These requests depend on fresh observations of all upstreams. */
@@ -70,7 +77,14 @@
         if (isRepeatable) {
             return this.failureShare.getShare(service, now) > failingServiceShare ? "idle" : "none";
         }
-        return this.cellFailureShare.getShare(service, now) > failingOrdersShare ? "idleAtPrior" : "none";
+        return this.cellFailureShare.getShare(service, now) > failingOrdersShare ? this.chooseOrderExploration(service) : "none";
+    }
+
+    private chooseOrderExploration(service: string): chooseByExpectedCost.Exploration {
+        const count = (this.orderCounts.get(service) ?? 0) + 1;
+        const isTrial = count >= ordersPerLongIdleTrial;
+        this.orderCounts.set(service, isTrial ? 0 : count);
+        return isTrial ? "longIdle" : "idleAtPrior";
     }
 
     /**
