--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -74,6 +74,7 @@
     revision = 100;
     leases = new Map();
     watches = new Set();
+    waitingResponses = new Set();
 
     async start() {
         this.server = http.createServer((request, response) => void this.handle(request, response));
@@ -85,6 +86,12 @@
         this.server.close();
         this.leases.forEach(({ timer }) => clearTimeout(timer));
     }
+    /** Cuts the watches that are waiting, without an answer. Returns their number. */
+    cutWatches() {
+        const waiting = [...this.waitingResponses];
+        waiting.forEach(response => response.socket?.destroy());
+        return waiting.length;
+    }
     /** A write of the operator or of a worker. */
     put(key, value) {
         this.apply([{ key, value: Buffer.from(JSON.stringify(value)).toString("base64"), lease: 0 }]);
@@ -175,9 +182,11 @@
         const check = () => this.events.some(({ key, revision }) => revision > after && key.startsWith(prefix)) ? finish() : undefined;
         const timer = setTimeout(finish, Math.min(30_000, waitMs));
         this.watches.add(check);
+        this.waitingResponses.add(response);
         response.once("close", () => {
             clearTimeout(timer);
             this.watches.delete(check);
+            this.waitingResponses.delete(response);
         });
         check();
     }
