--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -74,7 +74,6 @@
     revision = 100;
     leases = new Map();
     watches = new Set();
-    waitingResponses = new Set();
 
     async start() {
         this.server = http.createServer((request, response) => void this.handle(request, response));
@@ -86,12 +85,6 @@
         this.server.close();
         this.leases.forEach(({ timer }) => clearTimeout(timer));
     }
-    /** Cuts the watches that are waiting, without an answer. Returns their number. */
-    cutWatches() {
-        const waiting = [...this.waitingResponses];
-        waiting.forEach(response => response.socket?.destroy());
-        return waiting.length;
-    }
     /** A write of the operator or of a worker. */
     put(key, value) {
         this.apply([{ key, value: Buffer.from(JSON.stringify(value)).toString("base64"), lease: 0 }]);
@@ -182,11 +175,9 @@
         const check = () => this.events.some(({ key, revision }) => revision > after && key.startsWith(prefix)) ? finish() : undefined;
         const timer = setTimeout(finish, Math.min(30_000, waitMs));
         this.watches.add(check);
-        this.waitingResponses.add(response);
         response.once("close", () => {
             clearTimeout(timer);
             this.watches.delete(check);
-            this.waitingResponses.delete(response);
         });
         check();
     }
@@ -251,7 +242,7 @@
     constructor(store, id, options = {}) {
         this.store = store;
         this.id = id;
-        this.options = { service: "desk", slots: 3, workMs: 60, failureDomain: "concepcion", bodyBytes: 0, ...options };
+        this.options = { service: "desk", slots: 3, workMs: 60, failureDomain: "concepcion", ...options };
         this.born = Date.now();
     }
     async start() {
@@ -300,7 +291,7 @@
         this.runs.push({ requestId: headers["request-id"], path: request.url, arrivedAt, state: this.state });
         await sleep(this.options.workMs);
         this.busy -= 1;
-        const text = `done ${headers["request-id"]} by ${this.id}`.padEnd(this.options.bodyBytes, ".");
+        const text = `done ${headers["request-id"]} by ${this.id}`;
         response.writeHead(200, { ...headers, "response-seal": `seal-${this.id}`, "content-length": Buffer.byteLength(text) }).end(text);
     }
     stop() {
