--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -360,6 +360,9 @@
         }));
         const [command, ...args] = /^run = "(.*)"$/m.exec(fs.readFileSync(path.join(root, "deploy/system.toml"), "utf8"))[1].split(" ");
         instance.process = childProcess.spawn(command, args, { cwd: root, env: { PATH: process.env.PATH, HOME: process.env.HOME, LANG: process.env.LANG, AGATEBEND_CONFIG: settingsFile }, stdio: ["ignore", "pipe", "pipe"] });
+        const { process: started } = instance;
+        // Whatever ends the script also ends its processes.
+        process.once("exit", () => started.kill("SIGKILL"));
         instance.log = "";
         instance.process.stdout.on("data", data => instance.log += data);
         instance.process.stderr.on("data", data => instance.log += data);
@@ -409,13 +412,16 @@
     });
 }
 
-/** Ends the script with the status of the case: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+/** Ends the script: 10 if the rule was broken, which run.sh turns into 1, 0 if it held, and anything else if the case could not run. */
 export async function runCase(directory, run) {
     const record = new Record(directory);
     const limit = setTimeout(() => {
         record.write("the case took too long");
         process.exit(2);
     }, 110_000);
+    for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+        process.once(signal, () => process.exit(2));
+    }
     const cleanups = [];
     let status = 2;
     try {
@@ -424,8 +430,8 @@
             record.write(`BROKEN: ${failure}`);
             process.stdout.write(`${failure}\n`);
         });
-        status = failures.length > 0 ? 1 : 0;
-        process.stdout.write(status === 1 ? `the rule was broken ${failures.length} times\n` : "the rule held\n");
+        status = failures.length > 0 ? 10 : 0;
+        process.stdout.write(status === 10 ? `the rule was broken ${failures.length} times\n` : "the rule held\n");
     }
     catch (thrown) {
         record.write(`the case could not run: ${thrown?.stack}`);
