Leave out of a peer's directory what the store has reported as removed

Cause: an instance whose call to the store has failed follows a peer until its own watch answers, and took the peer's entries as they were: those that the peer keeps as missing for 2 s, those of which the peer has not heard the removal, and its own missing ones, whose deadlines it cleared. Its watch goes on behind the removal and the peer is left before it drops the entry, so nothing removed it again.

Ruled out: a removal that the watch lost.

Change: an instance that watches the store knows the revision up to which it has all changes, and leaves out a peer's entry that was written up to then and is not in its table. Missing entries keep their deadlines. What was left out is read again after 2.5 s while a peer is followed. Instances of a cell that do not watch the store use their relay's entries as before.

--- a/src/discovery/directory.ts
+++ b/src/discovery/directory.ts
@@ -86,13 +86,20 @@
             onProgress: () => this.feed.scheduleUpdate(),
             getMaximumWaitMs: () => this.feed.getMaximumWaitMs(),
         });
-        this.feed = new directoryFeed.DirectoryFeed({ context, mesh: options.mesh, listEntries: () => this.cache.listEntries(), getAgeMs: () => this.cache.progress.getAgeMs(), getGeneration: () => this.cache.getGeneration() });
+        this.feed = new directoryFeed.DirectoryFeed({
+            context,
+            mesh: options.mesh,
+            listEntries: () => this.cache.listEntries(),
+            getAgeMs: () => this.cache.progress.getAgeMs(),
+            getGeneration: () => this.cache.getGeneration(),
+            getRevision: () => this.cache.getRevision(),
+        });
         this.follower = new directoryFollower.DirectoryFollower({
             context,
             mesh: options.mesh,
             isOwnWatchProgressing: () => this.cache.progress.isProgressing(),
-            setEntries: (entries, generation) => this.cache.setEntries(entries, generation),
-            applyChanges: (changed, removedKeys) => this.cache.applyChanges(changed, removedKeys),
+            setEntries: entries => this.cache.setEntries(entries),
+            applyChanges: changes => this.cache.applyChanges(changes),
             setOwnWatch: isNeeded => this.setOwnWatch(isNeeded),
         });
         const age: promClient.Gauge = new promClient.Gauge({
--- a/src/discovery/directoryFeed.ts
+++ b/src/discovery/directoryFeed.ts
@@ -22,15 +22,16 @@
 export const unfollowTopic = "directory.unfollow";
 
 const entrySchema = z.strictObject({ key: z.string().max(512), value: z.string().max(1_048_576), revision: z.number().int().min(0) });
-const positionSchema = { epoch: z.string().max(64), sequence: z.number().int().min(0), ageMs: z.number().min(0) };
+const revisionSchema = z.number().int().min(0).optional();
+const positionSchema = { epoch: z.string().max(64), sequence: z.number().int().min(0), ageMs: z.number().min(0), revision: revisionSchema };
 
 const entriesSchema = z.array(entrySchema).max(100_000);
-/** A request to follow. Earlier versions send an empty one, and ignore what it says. */
-const followRequestSchema = z.strictObject({ acceptsDeflated: z.boolean().default(false) });
+/** A request to follow. Earlier versions send less, and ignore a request that says more than they know of. */
+const followRequestSchema = z.object({ acceptsDeflated: z.boolean().default(false), acceptsRevision: z.boolean().default(false) });
 const snapshotSchema = z.union([z.strictObject({ ...positionSchema, entries: entriesSchema }), z.strictObject({ ...positionSchema, deflatedEntries: peers.deflatedSchema })]);
 
 /** The body of this version's requests to follow. */
-export const followRequest: z.infer<typeof followRequestSchema> = { acceptsDeflated: true };
+export const followRequest: z.infer<typeof followRequestSchema> = { acceptsDeflated: true, acceptsRevision: true };
 
 /** The whole directory of the sender at a position of its feed. */
 export interface DirectorySnapshot {
@@ -38,6 +39,8 @@
     readonly sequence: number;
     /** The time since the store last sent news of the directory, in milliseconds. */
     readonly ageMs: number;
+    /** The revision of the store up to which the entries contain all changes; undefined if the sender does not know it. */
+    readonly revision?: number;
     readonly entries: readonly store.Entry[];
 }
 
@@ -74,6 +77,8 @@
     readonly getAgeMs: () => number;
     /** Returns the generation of the store that the entries come from; undefined if it is not known. */
     readonly getGeneration?: () => number | undefined;
+    /** Returns the revision up to which the entries contain all changes; undefined if it is not known. */
+    readonly getRevision?: () => number | undefined;
 }
 
 /** Collects the changes between two signs of life of the store, and sends them with the second one. */
@@ -81,13 +86,14 @@
     /** Distinguishes this process's feed from that of an earlier one. */
     private readonly feedId: string;
     private sequence = 0;
-    private readonly followers = new Set<string>();
+    /** The peers that follow, and whether they accept the revision of an update. */
+    private readonly followers = new Map<string, { readonly acceptsRevision: boolean; }>();
     private changed = new Map<string, store.Entry>();
     private removed = new Set<string>();
     private isSendScheduled = false;
     private lastAskedAt = -Infinity;
-    /** The compressed entries at a position, kept because all instances of a cell ask for them when its other relay is lost. */
-    private keptEntries: { readonly epoch: string; readonly sequence: number; readonly deflated: Uint8Array; } | undefined;
+    /** The compressed entries at a position and revision, kept because all instances of a cell ask for them when its other relay is lost. */
+    private keptEntries: { readonly epoch: string; readonly sequence: number; readonly revision: number | undefined; readonly deflated: Uint8Array; } | undefined;
 
     constructor(private readonly options: CreateDirectoryFeedOptions) {
         const { mesh, context: { randomness } } = options;
@@ -141,9 +147,9 @@
         }
         // A snapshot contains the changes that no update has carried yet, so the others must get them before it is numbered.
         this.sendUpdate();
-        this.followers.add(peerId);
-        const position = { epoch: this.getEpoch(), sequence: this.sequence, ageMs };
-        const acceptsDeflated = followRequestSchema.safeParse(body).data?.acceptsDeflated ?? false;
+        const { acceptsDeflated = false, acceptsRevision = false } = followRequestSchema.safeParse(body).data ?? {};
+        this.followers.set(peerId, { acceptsRevision });
+        const position = { epoch: this.getEpoch(), sequence: this.sequence, ageMs, ...(acceptsRevision ? this.getRevision() : {}) };
         return ok(acceptsDeflated ? { ...position, deflatedEntries: this.getDeflatedEntries() } : { ...position, entries: [...this.options.listEntries()] });
     }
 
@@ -153,10 +159,16 @@
         return generation === undefined ? this.feedId : `${this.feedId}${generationSeparator}${generation}`;
     }
 
+    private getRevision(): { readonly revision?: number; } {
+        const revision = this.options.getRevision?.();
+        return revision === undefined ? {} : { revision };
+    }
+
     private getDeflatedEntries(): Uint8Array {
         const epoch = this.getEpoch();
-        if (this.keptEntries?.sequence !== this.sequence || this.keptEntries.epoch !== epoch) {
-            this.keptEntries = { epoch, sequence: this.sequence, deflated: peers.createDeflated(this.options.listEntries()) };
+        const { revision } = this.getRevision();
+        if (this.keptEntries?.sequence !== this.sequence || this.keptEntries.epoch !== epoch || this.keptEntries.revision !== revision) {
+            this.keptEntries = { epoch, sequence: this.sequence, revision, deflated: peers.createDeflated(this.options.listEntries()) };
         }
         return this.keptEntries.deflated;
     }
@@ -171,6 +183,12 @@
             this.removed = new Set();
         }
         const update: DirectoryUpdate = { epoch: this.getEpoch(), sequence: this.sequence, after, ageMs: this.options.getAgeMs(), changed, removed };
-        this.options.mesh.sendNotices([...this.followers], updateTopic, update);
+        const followers = [...this.followers];
+        const current = followers.filter(([, { acceptsRevision }]) => acceptsRevision).map(([peerId]) => peerId);
+        const earlier = followers.filter(([, { acceptsRevision }]) => !acceptsRevision).map(([peerId]) => peerId);
+        this.options.mesh.sendNotices(current, updateTopic, { ...update, ...this.getRevision() });
+        if (earlier.length > 0) {
+            this.options.mesh.sendNotices(earlier, updateTopic, update);
+        }
     }
 }
--- a/src/discovery/directoryFollower.ts
+++ b/src/discovery/directoryFollower.ts
@@ -15,6 +15,11 @@
 const refusalPauseMs = 500;
 /** Age of the news at which another peer is asked. Updates are at most 800 ms apart. */
 const replacementAgeMs = 1_000;
+/**
+ * How long after entries were left out the directory is read again. By then a peer has removed what it had kept as missing. It
+ * does not report an entry that was written again unchanged meanwhile.
+ */
+const rereadDelayMs = 2_500;
 /** How long this instance watches the store itself once it has begun to; beginning costs a read of the whole directory. */
 const minimumOwnWatchMs = 5_000;
 
@@ -24,10 +29,10 @@
     readonly mesh: peers.Mesh;
     /** Returns whether the store answers this instance itself as it should; false while it is not asked. */
     readonly isOwnWatchProgressing: () => boolean;
-    /** Replaces all entries by those of a peer, which come from a generation of the store if the peer knows it. */
-    readonly setEntries: (entries: readonly store.Entry[], generation: number | undefined) => void;
-    /** Applies a peer's changes. */
-    readonly applyChanges: (changed: readonly store.Entry[], removedKeys: readonly string[]) => void;
+    /** Uses all entries of a peer; returns whether some were left out because the store has reported their removal. */
+    readonly setEntries: (entries: store.PeerEntries) => boolean;
+    /** Applies a peer's changes; returns whether entries were left out as by `setEntries`. */
+    readonly applyChanges: (changes: store.PeerChanges) => boolean;
     /** Stops or resumes this instance's own watch of the store. */
     readonly setOwnWatch: (isNeeded: boolean) => void;
 }
@@ -51,6 +56,8 @@
     private askAfter = -Infinity;
     /** When the store sent the followed peers its last news, in monotonic milliseconds of this instance. */
     private freshAt = -Infinity;
+    /** When the directory of a peer is read again, because entries were left out; infinite if none were. */
+    private rereadAt = Infinity;
     private stopChecks: loop.Cancel = () => {};
 
     constructor(private readonly options: CreateDirectoryFollowerOptions) {
@@ -74,12 +81,12 @@
     }
 
     private runCheck(): void {
-        const { mesh } = this.options;
+        const { mesh, context: { clock } } = this.options;
         const isSteadyFollower = mesh.hasCells() && !mesh.isCellRelay();
         if (!isSteadyFollower && this.options.isOwnWatchProgressing()) {
             this.stopFollowing("this instance hears from the store itself");
         }
-        else if (this.source === undefined || this.getAgeMs() > replacementAgeMs) {
+        else if (this.source === undefined || this.getAgeMs() > replacementAgeMs || clock.getNow() >= this.rereadAt) {
             this.readNextSnapshot(mesh.listRelayPeers());
         }
         this.setOwnWatch(!isSteadyFollower || this.getAgeMs() > directoryFeed.maximumAgeMs);
@@ -116,6 +123,7 @@
         }
         this.nextCandidate += 1;
         this.askedPeer = candidate;
+        this.scheduleReread(this.rereadAt !== Infinity);
         void this.readSnapshot(candidate).finally(() => {
             this.askedPeer = undefined;
         });
@@ -131,7 +139,7 @@
             logger.writeDebug("directory-follow-refused", `${peerId} cannot be followed`, { peer: peerId, reason: reply.isErr() ? reply.error.message : "the reply is malformed" });
             return;
         }
-        const { epoch, sequence, ageMs, entries } = snapshot;
+        const { epoch, sequence, ageMs, revision, entries } = snapshot;
         const freshAt = sentAt - ageMs;
         if (freshAt < this.freshAt) {
             mesh.sendNotices([peerId], directoryFeed.unfollowTopic, {});
@@ -140,7 +148,11 @@
         this.freshAt = freshAt;
         this.refusals = 0;
         this.setSource({ peerId, epoch, sequence }, `its news is ${Math.round(ageMs)} ms old`);
-        setEntries(entries, directoryFeed.parseGeneration(epoch));
+        this.scheduleReread(setEntries({ entries, generation: directoryFeed.parseGeneration(epoch), revision }));
+    }
+
+    private scheduleReread(isNeeded: boolean): void {
+        this.rereadAt = isNeeded ? this.options.context.clock.getNow() + rereadDelayMs : Infinity;
     }
 
     private receiveUpdate(peerId: string, body: unknown): void {
@@ -150,7 +162,7 @@
             logger.writeWarning("directory-update-malformed", "ignored a malformed update of the directory from a peer", { peer: peerId, reason: parsed.error.issues[0]?.message });
             return;
         }
-        const { epoch, sequence, after, ageMs, changed, removed } = parsed.data;
+        const { epoch, sequence, after, ageMs, revision, changed, removed } = parsed.data;
         if (this.askedPeer === peerId) {
             // It overtook the snapshot, whose sequence then shows whether anything was missed.
             return;
@@ -167,8 +179,8 @@
         }
         this.source = { peerId, epoch, sequence };
         this.freshAt = Math.max(this.freshAt, clock.getNow() - ageMs);
-        if (changed.length + removed.length > 0) {
-            applyChanges(changed, removed);
+        if (changed.length + removed.length > 0 && applyChanges({ changed, removedKeys: removed, generation: directoryFeed.parseGeneration(epoch), revision })) {
+            this.scheduleReread(true);
         }
     }
 
--- a/src/store/entryTable.ts
+++ b/src/store/entryTable.ts
@@ -1,6 +1,7 @@
 /** The entries of a prefix in use, with the generation of the store that they come from. */
 
 import type * as clock from "../kernel/clock.js";
+import * as peerDelay from "./peerDelay.js";
 import * as restoredEntries from "./restoredEntries.js";
 import type * as types from "./types.js";
 
@@ -11,11 +12,19 @@
     readonly decideOrder?: restoredEntries.DecideOrder;
 }
 
-/** Holds entries by key. An entry is not replaced by an earlier one, also when revisions are given out again. */
+/**
+ * Holds entries by key. An entry is not replaced by an earlier one, also when revisions are given out again. One of which the
+ * store has reported the removal does not come back with the entries of a peer that still has it.
+ */
 export class EntryTable {
     private entries = new Map<string, types.Entry>();
     /** Undefined if it is not known. */
     private generation: number | undefined;
+    /**
+     * The revision up to which the store has reported all changes; undefined if it does not report them. An entry that was
+     * written up to then and is not in the table was removed.
+     */
+    private revision: number | undefined;
     /** Whether the entries come from a peer and the store has not been read yet. */
     private isBorrowed = false;
     private readonly restored: restoredEntries.RestoredEntries;
@@ -34,6 +43,12 @@
         return this.generation;
     }
 
+    /** Returns the revision up to which the store has reported all changes; undefined if that is not known. */
+    getRevision(): number | undefined {
+        // An entry that is held back may be valid although it is not in the table.
+        return this.getRereadDelayMs() === undefined ? this.revision : undefined;
+    }
+
     /** Returns the number of entries of an older copy of the store that are not used. */
     countHeldBack(): number {
         return this.restored.countHeld();
@@ -44,6 +59,17 @@
         return this.restored.getRereadDelayMs(this.options.clock.getNow());
     }
 
+    /** Records the revision of an event of the store, which reports changes in their order. */
+    recordEvent(revision: number): void {
+        // More changes of the same transaction may follow.
+        this.revision = this.revision === undefined ? undefined : Math.max(this.revision, revision - 1);
+    }
+
+    /** Records that the store no longer reports changes, so that peers' entries are used as they are. */
+    recordWatchEnd(): void {
+        this.revision = undefined;
+    }
+
     /** Sets an entry that was written after all of its key that are known. */
     setEntry(entry: types.Entry): void {
         this.restored.recordWrite(entry.key);
@@ -66,23 +92,41 @@
     }
 
     /**
-     * Replaces the entries by those of a peer. Of an entry that both have, the newer one stays.
-     * @param generation - The generation of the store that the peer's entries come from; undefined if the peer does not know it.
+     * Replaces the entries by those of a peer. Of an entry that both have, the newer one stays; one that only one of them has is
+     * used unless the other has reached its revision.
      */
-    mergePeerEntries(entries: readonly types.Entry[], generation: number | undefined): void {
+    mergePeerEntries({ entries, generation, revision }: types.PeerEntries): peerDelay.PeerDelay {
+        if (this.isEarlierGeneration(generation)) {
+            return peerDelay.noDelay;
+        }
         const isNewGeneration = this.isNewGeneration(generation) || (generation !== undefined && this.generation === undefined);
+        if (isNewGeneration) {
+            // Revisions of different generations cannot be compared.
+            this.revision = undefined;
+        }
         const keys = new Set(entries.map(({ key }) => key));
-        [...this.entries.keys()].filter(key => !keys.has(key)).forEach(key => this.removeEntry(key));
-        // Revisions of different generations cannot be compared. The peer has held back the older entries of the copy.
-        this.entries = new Map(entries.map(entry => [entry.key, isNewGeneration ? entry : this.chooseNewer(entry)]));
+        const { reachedKeys, aheadKeys } = this.findEntriesAhead([...this.entries.keys()].filter(key => !keys.has(key)), revision);
+        reachedKeys.forEach(key => this.removeEntry(key));
+        const ahead = aheadKeys.map(key => this.entries.get(key)!);
+        const { current, removedKeys } = this.checkRemovals(entries);
+        // The peer has held back the older entries of a copy.
+        const used = isNewGeneration ? entries : current.map(entry => this.chooseNewer(entry));
+        this.entries = new Map([...used, ...ahead].map(entry => [entry.key, entry]));
         this.generation = isNewGeneration ? generation : this.generation;
         this.isBorrowed = false;
+        return { removedKeys, writtenKeys: aheadKeys };
     }
 
-    /** Applies the changes of a peer's entries. */
-    applyChanges(changed: readonly types.Entry[], removedKeys: readonly string[]): void {
-        changed.forEach(entry => this.setEntry(this.chooseNewer(entry)));
-        removedKeys.forEach(key => this.removeEntry(key));
+    /** Applies the changes of a peer whose entries were merged before. */
+    applyPeerChanges({ changed, removedKeys, generation, revision }: types.PeerChanges): peerDelay.PeerDelay {
+        if (this.isEarlierGeneration(generation)) {
+            return peerDelay.noDelay;
+        }
+        const checked = this.checkRemovals(changed);
+        checked.current.forEach(entry => this.setEntry(this.chooseNewer(entry)));
+        const { reachedKeys, aheadKeys } = this.findEntriesAhead(removedKeys, revision);
+        reachedKeys.forEach(key => this.removeEntry(key));
+        return { removedKeys: checked.removedKeys, writtenKeys: aheadKeys };
     }
 
     /**
@@ -90,7 +134,7 @@
      * @param keepsMissing - Returns whether entries that are not listed stay, once it is known whether the store returned with an older copy.
      * @returns Whether the store returned with an older copy, and the keys of the entries that stay although they are not listed.
      */
-    mergeListing({ entries, generation }: types.ListResult, keepsMissing: (isNewGeneration: boolean) => boolean): { readonly isNewGeneration: boolean; readonly missingKeys: readonly string[]; } {
+    mergeListing({ entries, generation, revision }: types.ListResult, keepsMissing: (isNewGeneration: boolean) => boolean): { readonly isNewGeneration: boolean; readonly missingKeys: readonly string[]; } {
         const isNewGeneration = this.isNewGeneration(generation);
         // The store may have returned with an older copy since a peer read the entries that this instance borrowed at its start.
         const mayBeOlder = isNewGeneration || (this.isBorrowed && generation !== undefined);
@@ -107,6 +151,7 @@
         }
         this.entries = merged;
         this.generation = generation ?? this.generation;
+        this.revision = revision;
         this.isBorrowed = false;
         return { isNewGeneration, missingKeys: keepsAll ? missing.map(({ key }) => key) : [] };
     }
@@ -115,8 +160,29 @@
         return generation !== undefined && this.generation !== undefined && generation > this.generation;
     }
 
+    private isEarlierGeneration(generation: number | undefined): boolean {
+        return generation !== undefined && this.generation !== undefined && generation < this.generation;
+    }
+
+    /** Divides the keys of entries that a peer does not have: into those whose last write it has reached, and those ahead of it. */
+    private findEntriesAhead(keys: readonly string[], peerRevision: number | undefined): { readonly reachedKeys: readonly string[]; readonly aheadKeys: readonly string[]; } {
+        const isComparable = peerRevision !== undefined && this.getRevision() !== undefined;
+        const isAhead = (key: string) => isComparable && (this.entries.get(key)?.revision ?? 0) > peerRevision;
+        return { reachedKeys: keys.filter(key => !isAhead(key)), aheadKeys: keys.filter(isAhead) };
+    }
+
+    /** Divides a peer's entries: into those in force, as far as the store has reported, and those of which it has reported the removal. */
+    private checkRemovals(entries: readonly types.Entry[]): { readonly current: readonly types.Entry[]; readonly removedKeys: readonly string[]; } {
+        const revision = this.getRevision();
+        const isRemoved = (entry: types.Entry) => revision !== undefined && entry.revision <= revision && !this.entries.has(entry.key);
+        return { current: entries.filter(entry => !isRemoved(entry)), removedKeys: entries.filter(isRemoved).map(({ key }) => key) };
+    }
+
+    /** Returns the newer one of a peer's entry and that in use, if any. What the store has reported includes all that was written up to then. */
     private chooseNewer(entry: types.Entry): types.Entry {
         const known = this.entries.get(entry.key);
-        return known !== undefined && known.revision > entry.revision ? known : entry;
+        const revision = this.getRevision();
+        const isReported = revision !== undefined && entry.revision <= revision;
+        return known !== undefined && (isReported || known.revision > entry.revision) ? known : entry;
     }
 }
--- a/src/store/etcdStore.ts
+++ b/src/store/etcdStore.ts
@@ -144,7 +144,7 @@
         }
         for (const event of message.data.result.events) {
             const entry = decodeEntry(event.kv);
-            request.onEvent(event.type === "PUT" ? { kind: "put", entry } : { kind: "removed", key: entry.key });
+            request.onEvent(event.type === "PUT" ? { kind: "put", entry } : { kind: "removed", key: entry.key, revision: entry.revision });
         }
     }
 
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -14,7 +14,7 @@
 export type { DecideOrder, EntryOrder } from "./restoredEntries.js";
 export { StoreGeneration } from "./storeGeneration.js";
 export { storeKey, type StoreService } from "./types.js";
-export type { Entry, ListResult, Store, StoreAdapter, StoreResult, SwapRequest, SwapResult, WatchEvent, WatchRequest } from "./types.js";
+export type { Entry, ListResult, PeerChanges, PeerEntries, PeerPosition, Store, StoreAdapter, StoreResult, SwapRequest, SwapResult, WatchEvent, WatchRequest } from "./types.js";
 
 function createStore(context: context.Context): types.Store {
     const adapter = adapterRegistry.findAdapter(context.settings.store);
--- a/src/store/missingEntries.ts
+++ b/src/store/missingEntries.ts
@@ -49,11 +49,6 @@
         return this.deadlines.delete(key);
     }
 
-    /** Removes all keys. */
-    removeAll(): void {
-        this.deadlines.clear();
-    }
-
     /** Returns the keys of the missing entries. */
     listKeys(): readonly string[] {
         return [...this.deadlines.keys()];
--- a/src/store/prefixCache.ts
+++ b/src/store/prefixCache.ts
@@ -4,6 +4,7 @@
 import type * as loop from "../kernel/loop.js";
 import * as entryTable from "./entryTable.js";
 import * as missingEntries from "./missingEntries.js";
+import * as peerDelay from "./peerDelay.js";
 import type * as prefixCacheOptions from "./prefixCacheOptions.js";
 import type * as types from "./types.js";
 import * as watchProgress from "./watchProgress.js";
@@ -59,6 +60,7 @@
         this.closeWatch?.();
         this.closeWatch = undefined;
         this.uninterruptedSince = Infinity;
+        this.table.recordWatchEnd();
         this.progress.recordEnd();
     }
 
@@ -111,24 +113,23 @@
     }
 
     /**
-     * Replaces the entries by those of a peer that hears from the store while this instance does not. Of an entry that both
-     * have, the newer one stays.
-     * @param generation - The generation of the store that the peer's entries come from; undefined if the peer does not know it.
+     * Replaces the entries by those of a peer that hears from the store while this instance does not. What the store has reported
+     * to this instance stays.
+     * @returns Whether entries of the peer were left out, which it will remove, or has to be asked for again.
      */
-    setEntries(entries: readonly types.Entry[], generation?: number): void {
+    setEntries(peerEntries: types.PeerEntries): boolean {
         this.hasReadEntries = true;
-        this.missing.removeAll();
-        this.table.mergePeerEntries(entries, generation);
-        this.lastUpdateAt = this.options.context.clock.getNow();
-        this.notifyChange();
+        return this.mergeFromPeer(peerEntries, () => this.table.mergePeerEntries(peerEntries));
     }
 
-    /** Applies the changes of a peer's entries. */
-    applyChanges(changed: readonly types.Entry[], removedKeys: readonly string[]): void {
-        removedKeys.forEach(key => this.missing.removeKey(key));
-        this.table.applyChanges(changed, removedKeys);
-        this.lastUpdateAt = this.options.context.clock.getNow();
-        this.notifyChange();
+    /** Applies the changes of a peer's entries; returns whether some were left out, as `setEntries` does. */
+    applyChanges(changes: types.PeerChanges): boolean {
+        return this.mergeFromPeer(changes, () => this.table.applyPeerChanges(changes));
+    }
+
+    /** Returns the revision up to which the store has reported all changes to this instance; undefined if that is not known. */
+    getRevision(): number | undefined {
+        return this.table.getRevision();
     }
 
     /** Returns the generation of the store that the entries come from; undefined if it is not known. */
@@ -149,6 +150,19 @@
         };
     }
 
+    private mergeFromPeer({ revision }: types.PeerPosition, merge: () => peerDelay.PeerDelay): boolean {
+        const { context: { clock, logger }, prefix } = this.options;
+        const before = new Map(this.missing.listKeys().map(key => [key, this.table.getEntries().get(key)]));
+        const delay = merge();
+        // An entry stays missing unless the peer has a later one, or none.
+        const entries = this.table.getEntries();
+        [...before].filter(([key, entry]) => !entries.has(key) || entries.get(key) !== entry).forEach(([key]) => this.missing.removeKey(key));
+        this.lastUpdateAt = clock.getNow();
+        this.notifyChange();
+        peerDelay.writePeerDelay({ logger, prefix, delay, peerRevision: revision, revision: this.table.getRevision() });
+        return delay.removedKeys.length > 0;
+    }
+
     private notifyChange(): void {
         this.options.onChange(this.table.getEntries());
     }
@@ -259,6 +273,7 @@
     }
 
     private handleEvent(event: types.WatchEvent): void {
+        this.table.recordEvent(event.kind === "put" ? event.entry.revision : event.revision);
         if (event.kind === "put") {
             this.missing.removeKey(event.entry.key);
             this.table.setEntry(event.entry);
--- a/src/store/types.ts
+++ b/src/store/types.ts
@@ -32,7 +32,8 @@
 /** A change reported by a watch. */
 export type WatchEvent =
     | { readonly kind: "put"; readonly entry: Entry; }
-    | { readonly kind: "removed"; readonly key: string; };
+    /** `revision` is that of the removal. */
+    | { readonly kind: "removed"; readonly key: string; readonly revision: number; };
 
 /** The parameters of a watch. */
 export interface WatchRequest {
@@ -64,6 +65,25 @@
     readonly generation?: number;
 }
 
+/** Where a peer's entries come from, which tells whether they are newer than those in use. */
+export interface PeerPosition {
+    /** The generation of the store; undefined if the peer does not know it. */
+    readonly generation?: number;
+    /** The revision up to which the peer has all changes; undefined if it does not know it. */
+    readonly revision?: number;
+}
+
+/** All entries of a peer. */
+export interface PeerEntries extends PeerPosition {
+    readonly entries: readonly Entry[];
+}
+
+/** The changes of a peer's entries, with its position after them. */
+export interface PeerChanges extends PeerPosition {
+    readonly changed: readonly Entry[];
+    readonly removedKeys: readonly string[];
+}
+
 /** The result of a call. An error is always `storeUnavailable`; a write that failed may still have taken effect. */
 export type StoreResult<T> = Promise<Result<T, errors.FleetError>>;
 
--- a/test/discovery/directory.test.ts
+++ b/test/discovery/directory.test.ts
@@ -85,7 +85,7 @@
     await runPending();
     tasks.shift()!();
     await runPending();
-    allEntries.forEach(({ key }) => getWatch().onEvent({ kind: "removed", key }));
+    allEntries.forEach(({ key }) => getWatch().onEvent({ kind: "removed", key, revision: 102 }));
     await runPending();
     t.equal(discovered.at(-1), entryCount, "the entries are kept, because they may return");
     t.equal(replies.length, 1, "one request to the peer for all missing entries");
@@ -102,8 +102,8 @@
     allEntries.forEach(entry => getWatch().onEvent({ kind: "put", entry: { ...entry, value: `${entry.value} `, revision: entry.revision + 100 } }));
     await runPending();
     t.strictSame(discovered, [entryCount], "renewals without a changed upstream do not update the pool");
-    getWatch().onEvent({ kind: "removed", key: "servers/u1" });
-    getWatch().onEvent({ kind: "removed", key: "servers/u2" });
+    getWatch().onEvent({ kind: "removed", key: "servers/u1", revision: 201 });
+    getWatch().onEvent({ kind: "removed", key: "servers/u2", revision: 202 });
     getWatch().onEvent({ kind: "put", entry: { ...createEntry(3), value: createEntry(3).value.replace("north", "south") } });
     await runPending();
     t.strictSame(discovered, [entryCount, entryCount - 2], "events that arrive together cause one pool update");
--- a/test/discovery/directoryFeed.relayLink.test.ts
+++ b/test/discovery/directoryFeed.relayLink.test.ts
@@ -29,14 +29,22 @@
 
 function startFeed(entries: readonly store.Entry[]) {
     const handlers = new Map<string, Handler>();
+    const notices: { readonly peerId: string; readonly body: unknown; }[] = [];
     const created = new directoryFeed.DirectoryFeed({
         context: { randomness: { getIdentifier: () => "epoch" }, clock: { getNow: () => 0 } },
-        mesh: { setHandler: (topic: string, handler: Handler) => handlers.set(topic, handler), setNoticeHandler: () => {}, addDisconnectListener: () => {}, sendNotices: () => 0 },
+        mesh: {
+            setHandler: (topic: string, handler: Handler) => handlers.set(topic, handler),
+            setNoticeHandler: () => {},
+            addDisconnectListener: () => {},
+            sendNotices: (peerIds: readonly string[], _topic: string, body: unknown) => peerIds.forEach(peerId => notices.push({ peerId, body })),
+        },
         listEntries: () => entries,
         getAgeMs: () => 100,
+        getRevision: () => Math.max(...entries.map(({ revision }) => revision)),
     } as unknown as directoryFeed.CreateDirectoryFeedOptions);
     return {
         feed: created,
+        notices,
         /** Sends a request to follow over the peers' wire; returns the reply and its size in bytes. */
         readSnapshot: async (body: unknown, peerId: string) => {
             const reply = (await handlers.get(directoryFeed.followTopic)!(body, peerId))._unsafeUnwrap();
@@ -62,12 +70,25 @@
 
 void tap.test("snapshots after a change, and for an earlier version", async t => {
     const entries = createEntries().slice(0, 3);
-    const { feed, readSnapshot } = startFeed(entries);
+    const { feed, notices, readSnapshot } = startFeed(entries);
     const readEntries = async (body: unknown) => directoryFeed.parseSnapshot((await readSnapshot(body, "follower")).received)?.entries;
     t.strictSame(await readEntries(directoryFeed.followRequest), entries);
     entries.push({ key: "servers/new", value: "{}", revision: 9_000 });
     feed.recordChanges(entries.slice(-1), []);
     t.strictSame(await readEntries(directoryFeed.followRequest), entries, "the change is in the next snapshot");
-    t.strictSame(((await readSnapshot({}, "earlier")).received as { readonly entries: unknown; }).entries, entries, "an earlier version gets entries that are not compressed");
+    t.equal(directoryFeed.parseSnapshot((await readSnapshot(directoryFeed.followRequest, "follower")).received)?.revision, 9_000);
+    entries[0] = { ...entries[0]!, revision: 9_001 };
+    t.strictSame(await readEntries(directoryFeed.followRequest), entries, "an entry that was written again unchanged has its new revision");
+    const earlier = (await readSnapshot({}, "earlier")).received as { readonly entries: unknown; readonly revision?: unknown; };
+    t.strictSame(earlier.entries, entries, "an earlier version gets entries that are not compressed");
+    t.notOk("revision" in earlier, "and no field that it does not know");
+    feed.recordChanges([], ["servers/new"]);
+    notices.length = 0;
+    await readSnapshot({}, "earlier");
+    t.strictSame(
+        notices.map(({ peerId, body }) => [peerId, "revision" in (body as object), directoryFeed.updateSchema.safeParse(body).data?.removed]),
+        [["follower", true, ["servers/new"]], ["earlier", false, ["servers/new"]]],
+        "nor do updates have it",
+    );
     t.equal(directoryFeed.parseSnapshot({ epoch: "e", sequence: 1, ageMs: 1, deflatedEntries: Buffer.from("no") }), undefined, "a damaged reply");
 });
--- a/test/discovery/directoryFollower.test.ts
+++ b/test/discovery/directoryFollower.test.ts
@@ -88,13 +88,15 @@
             context: fakeContext,
             mesh,
             isOwnWatchProgressing: () => getAgeMs() <= progressIntervalMs + 500,
-            setEntries: entries => {
+            setEntries: ({ entries }) => {
                 peer.entries.clear();
                 entries.forEach(entry => peer.entries.set(entry.key, entry));
+                return false;
             },
-            applyChanges: (changed, removed) => {
+            applyChanges: ({ changed, removedKeys }) => {
                 changed.forEach(entry => peer.entries.set(entry.key, entry));
-                removed.forEach(key => peer.entries.delete(key));
+                removedKeys.forEach(key => peer.entries.delete(key));
+                return false;
             },
             setOwnWatch: isNeeded => {
                 peer.watchesStore = isNeeded;
--- a/test/store/instrumentedStore.test.ts
+++ b/test/store/instrumentedStore.test.ts
@@ -29,7 +29,7 @@
     const events: store.WatchEvent[] = [];
     instrumented.watchPrefix({ prefix: "k/", fromRevision: 1, onEvent: event => events.push(event), onBroken: () => {} });
     sendEvent({ kind: "put", entry });
-    sendEvent({ kind: "removed", key: "k/1" });
+    sendEvent({ kind: "removed", key: "k/1", revision: 2 });
     t.equal(events.length, 2);
     const metrics = await registry.metrics();
     for (const [labels, bytes] of [["received\",call=\"list", 22], ["received\",call=\"get", 11], ["sent\",call=\"swap", 7], ["received\",call=\"watch", 14]] as const) {
--- a/test/store/prefixCache.restored.test.ts
+++ b/test/store/prefixCache.restored.test.ts
@@ -67,8 +67,8 @@
             watch!.onEvent({ kind: "put", entry: { key: `k/${key}`, value, revision } });
             await runPending();
         },
-        remove: async (key: string) => {
-            watch!.onEvent({ kind: "removed", key: `k/${key}` });
+        remove: async (key: string, revision: number) => {
+            watch!.onEvent({ kind: "removed", key: `k/${key}`, revision });
             await runPending();
         },
         /** Ends the watch, as a new generation of the store does. */
@@ -94,7 +94,7 @@
     await fixture.start();
     await fixture.put("a", "2:draining", 110);
     await fixture.put("d", "1:ready", 111);
-    await fixture.remove("b");
+    await fixture.remove("b", 112);
     t.equal(fixture.getSeen(), "a=2:draining c=1:ready d=1:ready");
 
     fixture.setListing(2, 101, ["a", "1:ready", 90], ["b", "1:ready", 91], ["c", "2:ready", 101]);
@@ -119,7 +119,7 @@
     await fixture.start();
     await fixture.put("a", "new", 110);
     await fixture.put("c", "new", 111);
-    await fixture.remove("b");
+    await fixture.remove("b", 112);
     fixture.setListing(2, 112, ["a", "old", 90], ["b", "old", 91], ["c", "newest", 112]);
     await fixture.restart();
     t.equal(fixture.getSeen(), "a=new c=newest");
@@ -145,8 +145,8 @@
 
 void tap.test("a follower that never read the store takes the entries of each newer generation", async t => {
     const fixture = createFixture(true);
-    fixture.cache.setEntries([{ key: "k/a", value: "1:ready", revision: 500 }], 1);
-    fixture.cache.setEntries([{ key: "k/a", value: "2:ready", revision: 120 }], 2);
+    fixture.cache.setEntries({ entries: [{ key: "k/a", value: "1:ready", revision: 500 }], generation: 1 });
+    fixture.cache.setEntries({ entries: [{ key: "k/a", value: "2:ready", revision: 120 }], generation: 2 });
     t.equal(fixture.getSeen(), "a=2:ready");
 });
 
@@ -158,18 +158,24 @@
     const createEntry = (value: string, revision: number) => [{ key: "k/a", value, revision }];
 
     await t.test("keeps its newer entry over that of a peer in the same generation", async t => {
-        fixture.cache.setEntries(createEntry("1:ready", 90), 1);
+        fixture.cache.setEntries({ entries: createEntry("1:ready", 90), generation: 1 });
         t.equal(fixture.getSeen(), "a=2:draining");
     });
 
     await t.test("takes the entries of a peer in a newer generation, and their changes with lower revisions", async t => {
-        fixture.cache.setEntries(createEntry("2:draining", 0), 2);
-        fixture.cache.applyChanges(createEntry("3:ready", 120), []);
+        fixture.cache.setEntries({ entries: createEntry("2:draining", 0), generation: 2 });
+        fixture.cache.applyChanges({ changed: createEntry("3:ready", 120), removedKeys: [], generation: 2 });
         t.equal(fixture.getSeen(), "a=3:ready");
     });
 
     await t.test("keeps its newer entry over that of a peer that does not know the newer generation yet", async t => {
-        fixture.cache.setEntries(createEntry("2:draining", 110), 1);
+        fixture.cache.setEntries({ entries: createEntry("2:draining", 110), generation: 1 });
+        t.equal(fixture.getSeen(), "a=3:ready");
+    });
+
+    await t.test("ignores the changes of such a peer, whose revisions are higher", async t => {
+        fixture.cache.applyChanges({ changed: createEntry("2:draining", 510), removedKeys: [], generation: 1, revision: 510 });
+        fixture.cache.applyChanges({ changed: [], removedKeys: ["k/a"], generation: 1, revision: 511 });
         t.equal(fixture.getSeen(), "a=3:ready");
     });
 });
