Try an idle upstream after 3 s, whatever its estimate is

Cause: a request that can be retried was sent to an idle upstream when its estimate had decayed to 0.33, which is 4.4 s after the last of several failures. The test passed when the last failure was more than 0.4 s before the recovery.

Change: after 3 s a request that can be retried goes to an idle upstream whatever its estimate is; one that still fails costs a retry in 3 s. Orders and requests that cannot be retried are sent as before.

--- a/src/upstreamHealth/chooseByExpectedCost.ts
+++ b/src/upstreamHealth/chooseByExpectedCost.ts
@@ -20,6 +20,11 @@
 const maximumIdleAgeMs = 1_800;
 /** The value of an observation of such an upstream. It exceeds the cost of a certain failure. */
 const maximumIdleExplorationValue = retryCost * 1.1;
+/**
+ * After this time a request that can be retried is sent to an idle upstream whatever its estimate is. An upstream that recovered
+ * right after a failure counts as sound 2 s later and must be used within 2 s more, one of which is left for a request to arrive.
+ */
+const maximumUntestedAgeMs = 3_000;
 /** The cost of an upstream with all slots in use. It grows linearly with the slots in use, because an upstream that is nearly full is slower. */
 const loadCost = 0.01;
 /** The cost of queueing at an upstream until the target latency is used up. */
@@ -109,18 +114,22 @@
 }
 
 /** Computes the benefit of a new observation of an upstream for a request that can be retried. */
-function computeExplorationBenefit(candidate: pool.Upstream, { table, now, exploration, observationWeight = 1 }: ChooseByExpectedCostOptions): number {
+function computeExplorationBenefit(candidate: pool.Upstream, { table, now, canRetry, exploration, observationWeight = 1 }: ChooseByExpectedCostOptions): number {
     const ageMs = now - Math.max(table.getEstimate(candidate).getUpdatedAt(), table.getLastSentAt(candidate));
+    const idleBenefit = table.getFleetInFlight(candidate) === 0 ? computeIdleBenefit(ageMs, canRetry) : 0;
     return match(exploration)
-        .with("oldest", () => Math.max(explorationValue * observationWeight * (1 - Math.exp(-ageMs / explorationAgeMs)), computeIdleBenefit(ageMs, table.getFleetInFlight(candidate))))
-        .with("idle", () => computeIdleBenefit(ageMs, table.getFleetInFlight(candidate)))
-        .with("idleAtPrior", () => table.getEstimate(candidate).getFailureProbability(now) <= unknownFailureProbability ? computeIdleBenefit(ageMs, table.getFleetInFlight(candidate)) : 0)
+        .with("oldest", () => Math.max(explorationValue * observationWeight * (1 - Math.exp(-ageMs / explorationAgeMs)), idleBenefit))
+        .with("idle", () => idleBenefit)
+        .with("idleAtPrior", () => table.getEstimate(candidate).getFailureProbability(now) <= unknownFailureProbability ? idleBenefit : 0)
         .with("longIdle", () => ageMs >= maximumIdleAgeMs ? maximumIdleExplorationValue : 0)
         .with("none", () => 0)
         .exhaustive();
 }
 
 /** Only an observation shows that an upstream has recovered, so one without requests would stay without them for good. */
-function computeIdleBenefit(ageMs: number, fleetInFlight: number): number {
-    return ageMs >= idleAgeMs && fleetInFlight === 0 ? idleExplorationValue : 0;
+function computeIdleBenefit(ageMs: number, canRetry: boolean): number {
+    if (ageMs < idleAgeMs) {
+        return 0;
+    }
+    return canRetry && ageMs >= maximumUntestedAgeMs ? maximumIdleExplorationValue : idleExplorationValue;
 }
--- a/test/upstreamHealth/chooseByExpectedCost.test.ts
+++ b/test/upstreamHealth/chooseByExpectedCost.test.ts
@@ -52,6 +52,13 @@
     doTest("without orders, an upstream with a request in flight does not count as idle", [{ ...stale, inFlight: 1 }, failing, proven], "proven", repeatableOnly);
     doTest("without orders, an upstream that has just failed does not count as idle", [failing, proven], "proven", repeatableOnly);
     doTest("without orders, an upstream that failed twice is not tried within two seconds", [{ id: "doubted", outcomes: [["bad", 1_900], ["bad", 1_800]] }, proven], "proven", repeatableOnly);
+    // Guards against a recovered upstream that gets nothing for over 4 s, until the estimate of its last failures has decayed.
+    const createFailed = (ageMs: number): UpstreamCase => ({ id: "failed", outcomes: Array.from({ length: 8 }, () => ["bad", ageMs] as const) });
+    doTest("a request that can be retried is sent to an upstream that got nothing for 3 s, whatever its estimate is", [createFailed(3_000), proven], "failed", repeatableOnly);
+    doTest("the same where observations serve requests that cannot be retried, and few of those arrive", [createFailed(3_000), proven], "failed", { canRetry: true, exploration: "oldest", observationWeight: 0.05 });
+    doTest("it is not sent there before", [createFailed(2_900), proven], "proven", repeatableOnly);
+    doTest("nor while another request is in flight there", [{ ...createFailed(3_000), inFlight: 1 }, proven], "proven", repeatableOnly);
+    doTest("a request that cannot be retried is not sent there", [createFailed(3_000), proven], "proven", { exploration: "idle" });
     doTest("without orders, a request that cannot be retried is not sent to an idle upstream", [stale, failing, proven], "proven", { ...repeatableOnly, canRetry: false, exploration: "none" });
     doTest("a request that cannot be retried is sent to an idle upstream if it explores", [stale, failing, proven], "stale", { exploration: "idle" });
     doTest("a request that cannot be retried and explores is not sent to a failing upstream", [{ id: "doubted", outcomes: [["bad", 1_900], ["bad", 1_800]] }, proven], "proven", { exploration: "idle" });
