--- a/src/discovery/directoryFollower.ts
+++ b/src/discovery/directoryFollower.ts
@@ -123,6 +123,7 @@
         }
         this.nextCandidate += 1;
         this.askedPeer = candidate;
+        // The reply may be lost, or too old to be used.
         this.scheduleReread(this.rereadAt !== Infinity);
         void this.readSnapshot(candidate).finally(() => {
             this.askedPeer = undefined;
