Report the end of a missing entry to followers at once

Cause: a relay whose calls have failed keeps a removed entry for 2 s, checks for the end every 100 ms, and told its followers with the next answer of the store, which may take 0.8 s.

Change: changes of the directory are sent at once also without an answer of the store, as long as its last one is recent. Those of one answer still go out in one update.

Result: "the instances of a cell learn of the end of the grace period at their relay at once" in test/discovery/directory.peerBehind.test.ts failed before in three of three runs; all tests of discovery pass.

--- a/src/discovery/directory.ts
+++ b/src/discovery/directory.ts
@@ -252,6 +252,8 @@
     private recordFeedChanges(before: UpstreamDirectory["parsedEntries"]): void {
         const changed = [...this.parsedEntries].filter(([key, { upstream }]) => !before.has(key) || before.get(key)!.upstream !== upstream).map(([, { entry }]) => entry);
         this.feed.recordChanges(changed, [...before.keys()].filter(key => !this.parsedEntries.has(key)));
+        // Changes without an answer of the store, such as the end of a missing entry, must not wait for the next one.
+        this.feed.scheduleUpdate();
     }
 
     private writeUpstreamChanges(before: UpstreamDirectory["parsedEntries"]): void {
--- a/src/discovery/directoryFeed.ts
+++ b/src/discovery/directoryFeed.ts
@@ -81,7 +81,7 @@
     readonly getRevision?: () => number | undefined;
 }
 
-/** Collects the changes between two signs of life of the store, and sends them with the second one. */
+/** Collects the changes that come with an answer of the store or by themselves, and sends them together with the age of that answer. */
 export class DirectoryFeed {
     /** Distinguishes this process's feed from that of an earlier one. */
     private readonly feedId: string;
@@ -103,7 +103,7 @@
         mesh.addDisconnectListener(peerId => void this.followers.delete(peerId));
     }
 
-    /** Records changes of the directory; the next update carries them. */
+    /** Records changes of the directory; the next update has them. */
     recordChanges(changed: readonly store.Entry[], removedKeys: readonly string[]): void {
         for (const entry of changed) {
             this.removed.delete(entry.key);
@@ -115,9 +115,10 @@
         }
     }
 
-    /** Sends an update once the changes that came with the store's sign of life have been applied. */
+    /** Sends an update once the changes that come with the same answer of the store have been applied. */
     scheduleUpdate(): void {
-        if (this.isSendScheduled || this.followers.size === 0) {
+        // Without recent answers of the store the followers leave, and the next one gets the changes with its snapshot.
+        if (this.isSendScheduled || this.followers.size === 0 || this.options.getAgeMs() > maximumAgeMs) {
             return;
         }
         this.isSendScheduled = true;
--- a/test/discovery/directory.peerBehind.test.ts
+++ b/test/discovery/directory.peerBehind.test.ts
@@ -20,8 +20,14 @@
 
 /** The topic of the requests about missing entries. Peers do not answer them here, as if their own calls had failed as well. */
 const directoryTopic = "directory";
-/** The interval of the answers of the store to each instance that it reaches. */
+/** The interval of the answers of the store to each instance that it reaches, unless a test needs another one. */
 const answerIntervalMs = 100;
+/** The longest time between two answers to an instance that is followed: a wait of 500 ms, and 300 ms in which events are collected. */
+const maximumAnswerIntervalMs = 800;
+/** How often the end of the grace period is checked. */
+const graceCheckIntervalMs = 100;
+/** Longer than a message between instances takes here. */
+const deliveryMs = 10;
 /** For how long entries that lapse in an outage are kept. */
 const graceMs = 2_000;
 /** Longer than the grace period, the checks for its end and the delivery of what they change. */
@@ -48,9 +54,11 @@
     }
 }
 
-interface Topology {
-    readonly hasCells: boolean;
-    readonly relays: readonly string[];
+/** Options of `startInstances`. */
+interface StartInstancesOptions {
+    /** The relays of a fleet of cells; without any, all instances watch the store. */
+    readonly relays?: readonly string[];
+    readonly intervalMs?: number;
 }
 
 /** One instance's directory, with its connections to the store and the other instances. */
@@ -65,6 +73,8 @@
     isWaiting = false;
     /** The last revision that answers contain. */
     lastRevision = Infinity;
+    /** The number of answers that have arrived. */
+    answers = 0;
     upstreams = "";
     getDump = (): unknown => undefined;
     private watch: store.WatchRequest | undefined;
@@ -90,15 +100,20 @@
         },
     };
 
+    /** Fails the open watch's call; the next answer continues it. */
+    receiveFailure(): void {
+        this.hasFailed = true;
+        this.watch?.onInterrupted?.();
+    }
+
     /** Delivers the store's answer to the open watch, or the failure of the call. */
-    receiveAnswer(): void {
+    receiveAnswer(intervalMs: number): void {
         const { watch } = this;
         if (watch === undefined || this.isWaiting) {
             return;
         }
         if (!this.isReached) {
-            this.hasFailed = true;
-            watch.onInterrupted?.();
+            this.receiveFailure();
             return;
         }
         if (this.hasFailed) {
@@ -108,12 +123,13 @@
         const changes = this.testStore.changes.filter(({ revision }) => revision > this.deliveredRevision && revision <= this.lastRevision);
         this.deliveredRevision = Math.min(this.testStore.revision, this.lastRevision);
         changes.forEach(({ event }) => watch.onEvent(event));
-        watch.onProgress?.(answerIntervalMs);
+        watch.onProgress?.(intervalMs);
+        this.answers += 1;
     }
 }
 
 /** Starts instances before one store; a test decides which of them hear from it, and when. */
-async function startInstances(ids: readonly string[], { hasCells, relays }: Topology = { hasCells: false, relays: ids }) {
+async function startInstances(ids: readonly string[], { relays, intervalMs = answerIntervalMs }: StartInstancesOptions = {}) {
     const time = new virtualTime.VirtualTime();
     const testStore = new TestStore();
     ["a", "b"].forEach(id => testStore.writeEntry(id));
@@ -151,10 +167,10 @@
                 setHandler: (topic: string, handler: Handler) => instance.handlers.set(topic, handler),
                 setNoticeHandler: (topic: string, handler: NoticeHandler) => instance.noticeHandlers.set(topic, handler),
                 addDisconnectListener: (listener: (peerId: string) => void) => instance.disconnectListeners.push(listener),
-                hasCells: () => hasCells,
-                isCellRelay: () => relays.includes(instance.id),
+                hasCells: () => relays !== undefined,
+                isCellRelay: () => relays?.includes(instance.id) ?? false,
                 listLinkedPeers: () => [...instances.keys()].filter(id => id !== instance.id),
-                listRelayPeers: () => relays.filter(id => id !== instance.id && instances.has(id)),
+                listRelayPeers: () => [...instances.keys()].filter(id => id !== instance.id && (relays?.includes(id) ?? true)),
                 sendNotices: (peerIds: readonly string[], topic: string, body: unknown) => {
                     peerIds.forEach(peerId => deliver(() => instances.get(peerId)?.noticeHandlers.get(topic)?.(instance.id, body)));
                     return peerIds.length;
@@ -172,7 +188,7 @@
         } as unknown as directory.CreateUpstreamDirectoryOptions);
         instance.getDump = () => created.getDump();
         created.start();
-        scheduleRepeatedly(answerIntervalMs, () => instance.receiveAnswer());
+        scheduleRepeatedly(intervalMs, () => instance.receiveAnswer(intervalMs));
     };
     const runPending = async () => {
         for (let turn = 0; turn < 20; turn += 1) {
@@ -198,6 +214,12 @@
             await advance(durationMs);
             interrupted.forEach(id => getInstance(id).isReached = true);
         },
+        /** Advances until the store has answered an instance. */
+        waitForAnswer: async (id: string) => {
+            for (const { answers } = getInstance(id); getInstance(id).answers === answers;) {
+                await advance(deliveryMs);
+            }
+        },
         disconnect: async (peerId: string) => {
             instances.delete(peerId);
             instances.forEach(({ disconnectListeners }) => disconnectListeners.forEach(listener => listener(peerId)));
@@ -266,7 +288,7 @@
 });
 
 void tap.test("an instance of a cell whose relay keeps an entry that another relay has removed", async t => {
-    const { testStore, advance, interrupt, disconnect, getInstance, getUpstreams } = await startInstances(["r1", "r2", "x"], { hasCells: true, relays: ["r1", "r2"] });
+    const { testStore, advance, interrupt, disconnect, getInstance, getUpstreams } = await startInstances(["r1", "r2", "x"], { relays: ["r1", "r2"] });
     await advance(5_000);
     const testRelayLoss = async (lost: string, other: string) => {
         t.equal(getFollowedPeer(getInstance("x")), lost);
@@ -381,6 +403,20 @@
     });
 });
 
+// A relay that waited for the next answer of the store let its followers use the upstream for up to 0.8 s longer.
+void tap.test("the instances of a cell learn of the end of the grace period at their relay at once", async t => {
+    const { testStore, advance, waitForAnswer, getInstance, getUpstreams } = await startInstances(["r1", "x"], { relays: ["r1"], intervalMs: maximumAnswerIntervalMs });
+    await advance(6_000);
+    t.equal(getFollowedPeer(getInstance("x")), "r1");
+    await waitForAnswer("r1");
+    getInstance("r1").receiveFailure();
+    testStore.removeEntry("a");
+    await waitForAnswer("r1");
+    t.equal(getUpstreams(), "r1: a b, x: a b", "the relay keeps the entry, since its calls failed before");
+    await advance(graceMs + graceCheckIntervalMs + deliveryMs);
+    t.equal(getUpstreams(), "r1: b, x: b");
+});
+
 function getFollowedPeer(instance: TestInstance): string | undefined {
     return (instance.getDump() as { readonly following?: string; }).following;
 }
