Do not count a pause of the process as waiting for a slot

What callers saw: with hedging (off by default), a read at a slow upstream was not hedged and waited until its attempt was overdue.

Cause: a request that gets a free slot at once is started in the call that queues it. Its queue time was the difference of two readings of the clock in that call. A pause of the process between them of 2 ms or more, by the kernel or the garbage collector, counted as waiting for a slot, after which no hedges are sent for a second ("busy").

Ruled out: that requests did wait.

Change: a dispatch counts queue times from one time, and the dispatch of a request that has just been queued from the time of that. A request that is left in the queue counts as before.

The new case of test/admission/scheduler.test.ts failed before (9 ms in place of 0). Not run on arm64.

--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -84,7 +84,7 @@
             request.signal.addEventListener("abort", onAbort, { once: true });
             if (this.addToQueue(queued, now)) {
                 this.scheduleRejection(queued);
-                this.dispatch();
+                this.dispatch(now);
             }
         });
     }
@@ -175,9 +175,13 @@
         return upstreamLoads.computeUtilization(this.listUpstreams(), this.options.getUpstreamLoad, this.options.context.clock.getNow());
     }
 
-    /** Starts queued requests until no further request can get a slot. */
-    dispatch(): void {
-        while (this.dispatchNext()) {
+    /**
+     * Starts queued requests until no further request can get a slot.
+     * @param now - The time from which queue times are computed, in monotonic milliseconds. For a request that has just been queued,
+     * it is the time of that, so that a pause of the process until it gets a free slot does not count as waiting for one.
+     */
+    dispatch(now = this.options.context.clock.getNow()): void {
+        while (this.dispatchNext(now)) {
             // Each iteration starts one request.
         }
         const hasQueuedRequests = this.queues.some(({ requests }) => requests.getSize() > 0);
@@ -214,8 +218,7 @@
         return this.getDemand().map((demand, index) => ({ ...demand, guaranteedShare: this.options.ranks[index]!.guaranteedShare, recentShare: usageFractions[index], workspaces: this.queues[index]!.requests.countByWorkspace().size }));
     }
 
-    private dispatchNext(): boolean {
-        const now = this.options.context.clock.getNow();
+    private dispatchNext(now: number): boolean {
         for (const rank of this.listRanksInOrder(now)) {
             this.rejectLateRequests(rank, now);
             if (!this.options.slotAllocator.isWithinAllocation(this.options.service, rank, this.rankUsage.getInFlight(rank), now)) {
--- a/test/admission/scheduler.test.ts
+++ b/test/admission/scheduler.test.ts
@@ -13,7 +13,7 @@
 const deadlineMs = 2_345;
 
 void tap.test("scheduler queue", async t => {
-    const createQueue = () => {
+    const createQueue = ({ pauseMs = 0 } = {}) => {
         const time = clock.createVirtualClock();
         let hasFreeUpstream = true;
         let scheduledTasks: (() => void)[] = [];
@@ -23,6 +23,7 @@
                 clock: time,
                 loop: {
                     scheduleOnce: (_delayMs: number, task: () => void) => {
+                        time.addTime(pauseMs);
                         scheduledTasks.push(task);
                         return () => {
                             scheduledTasks = scheduledTasks.filter(scheduled => scheduled !== task);
@@ -37,7 +38,7 @@
             chooseUpstream: () => hasFreeUpstream ? {} : undefined,
             formatUpstreamSummary: () => "",
         } as unknown as scheduler.CreateSchedulerOptions);
-        const acquire = async (medianMs: number) => {
+        const acquireSlot = (medianMs: number) => {
             const request = {
                 service: "desk",
                 route: "r",
@@ -47,11 +48,15 @@
                 getMedianLatencyMs: () => medianMs,
                 getAbortError: () => errors.createError("callerGone"),
             };
-            const result = await subject.acquireSlot(request as unknown as types.SlotRequest);
+            return subject.acquireSlot(request as unknown as types.SlotRequest);
+        };
+        const acquire = async (medianMs: number) => {
+            const result = await acquireSlot(medianMs);
             return result.isOk() ? "sent" : result.error.kind;
         };
         return {
             time,
+            acquireSlot,
             acquire,
             setFreeUpstream: (isFree: boolean) => {
                 hasFreeUpstream = isFree;
@@ -87,4 +92,21 @@
             t.equal(await result, expected, `median latency ${medianMs} ms, queued for ${queuedMs} ms`);
         }
     });
+
+    // Guards against a pause of the process that is taken for a lack of slots: no hedge was sent for a second after it.
+    await t.test("a request that gets a free slot at once has not waited, even if the process was paused", async t => {
+        const { acquireSlot } = createQueue({ pauseMs: 9 });
+        t.equal((await acquireSlot(100))._unsafeUnwrap().queuedMs, 0);
+    });
+
+    await t.test("a request that waits for a slot has waited for all that time", async t => {
+        const queue = createQueue({ pauseMs: 9 });
+        queue.setFreeUpstream(false);
+        const result = queue.acquireSlot(100);
+        queue.time.addTime(50);
+        queue.setFreeUpstream(true);
+        queue.dispatch();
+        // The pauses are those while its rejection and the next dispatch were scheduled.
+        t.equal((await result)._unsafeUnwrap().queuedMs, 9 + 9 + 50);
+    });
 });
