Wait until the worker runs every request in the test of stalls at the end

Cause: the signal came 100 ms after eight requests had been sent.

Change: the signal waits, after the same 100 ms, until the worker runs all eight. The responses still arrive in the stall; all checks and times are the same.

--- a/test/integration.stallAtEnd.test.ts
+++ b/test/integration.stallAtEnd.test.ts
@@ -5,6 +5,7 @@
 
 import tap from "tap";
 import * as platform from "./harness/platform.js";
+import * as processes from "./harness/processes.js";
 
 const routes: readonly platform.TestRoute[] = [
     { name: "order", prefix: "/order/", kind: "unsafe", service: "desk", timeoutMs: 12_000 },
@@ -31,6 +32,7 @@
         );
     const answers = [100, 100, 60_000, 500_000].flatMap(responseBytes => [send("POST", "/order/1", responseBytes), send("GET", "/look/1", responseBytes)]);
     await wait(100);
+    await processes.waitFor("the worker runs every request", async () => (await worker!.getState<{ readonly busy: number; }>()).busy === answers.length);
     const signalledAt = performance.now();
     const waitUntil = (afterMs: number) => wait(signalledAt + afterMs - performance.now());
     instance.process.sendSignal("SIGTERM");
